--- /dev/null
+++ b/cmd/carobctl/commands.go
@@ -0,0 +1,15 @@
+package main
+
+import "github.com/jessevdk/go-flags"
+
+// command is one subcommand; its runner holds the flags and is called with the remaining arguments.
+type command struct {
+	name   string
+	short  string
+	runner flags.Commander
+}
+
+// commands lists the subcommands; each one stands in a file of its own.
+func commands() []command {
+	return []command{}
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,153 @@
+package carobthread
+
+import "time"
+
+// ServiceKind states what a service's requests do.
+type ServiceKind string
+
+// The kinds of services.
+const (
+	// KindSearch services answer queries from their shards and may repeat attempts.
+	KindSearch ServiceKind = "search"
+	// KindExecute services run requests that may not be repeated.
+	KindExecute ServiceKind = "execute"
+)
+
+// Preference states what a service gives up last when shards are late.
+type Preference string
+
+// The preferences of a search service.
+const (
+	// LatencyFirst answers at the soft deadline once the coverage floor is met.
+	LatencyFirst Preference = "latency-first"
+	// CoverageFirst waits for all shards until the hard deadline.
+	CoverageFirst Preference = "coverage-first"
+)
+
+// Service is the configuration of one service; durations are relative to a request's arrival.
+type Service struct {
+	Name           string        `json:"name"`
+	Kind           ServiceKind   `json:"kind"`
+	Preference     Preference    `json:"preference"`
+	SoftDeadline   time.Duration `json:"soft-deadline"`
+	HardDeadline   time.Duration `json:"hard-deadline"`
+	CoverageFloor  float64       `json:"coverage-floor"`
+	HedgeQuantile  float64       `json:"hedge-quantile"`
+	ExtraShare     float64       `json:"extra-share"`
+	MaxInFlight    int           `json:"max-in-flight"`
+	MaxRequestSize int           `json:"max-request-size"`
+	MaxReplySize   int           `json:"max-reply-size"`
+	Layout         uint32        `json:"layout"`
+}
+
+// Layout is one generation of a service's partition: the searchers that serve each shard.
+type Layout struct {
+	Service    string     `json:"service"`
+	Generation uint32     `json:"generation"`
+	Shards     [][]string `json:"shards"`
+}
+
+// Searcher is the configuration of one upstream process.
+type Searcher struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"data-centre"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Config is the whole state in force, with slices ordered by name so that iteration is deterministic.
+type Config struct {
+	Services  []Service  `json:"services"`
+	Layouts   []Layout   `json:"layouts"`
+	Searchers []Searcher `json:"searchers"`
+}
+
+// Service returns the service of that name.
+func (config *Config) Service(name string) (*Service, bool) {
+	for i := range config.Services {
+		if config.Services[i].Name == name {
+			return &config.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// Layout returns the layout of that service and generation.
+func (config *Config) Layout(service string, generation uint32) (*Layout, bool) {
+	for i := range config.Layouts {
+		layout := &config.Layouts[i]
+		if layout.Service == service && layout.Generation == generation {
+			return layout, true
+		}
+	}
+	return nil, false
+}
+
+// Searcher returns the searcher of that name.
+func (config *Config) Searcher(name string) (*Searcher, bool) {
+	for i := range config.Searchers {
+		if config.Searchers[i].Name == name {
+			return &config.Searchers[i], true
+		}
+	}
+	return nil, false
+}
+
+// ObjectID names a configuration object, such as "service/matching" or "layout/matching/3".
+type ObjectID string
+
+// Object is one configuration object as published: exactly one of the pointers is set.
+type Object struct {
+	ID       ObjectID  `json:"id"`
+	Ticket   uint64    `json:"ticket"`
+	Service  *Service  `json:"service,omitempty"`
+	Layout   *Layout   `json:"layout,omitempty"`
+	Searcher *Searcher `json:"searcher,omitempty"`
+}
+
+// Ticket is a numbered change with the whole new state of every object that it touches.
+type Ticket struct {
+	Number  uint64   `json:"number"`
+	Objects []Object `json:"objects"`
+}
+
+// Incarnation identifies one run of a host's process; a later start compares higher.
+type Incarnation struct {
+	Start  Instant `json:"start"`
+	Random uint64  `json:"random"`
+}
+
+// Less reports whether this incarnation started before the other.
+func (life Incarnation) Less(other Incarnation) bool {
+	if life.Start != other.Start {
+		return life.Start < other.Start
+	}
+	return life.Random < other.Random
+}
+
+// HostState states whether a host takes new work.
+type HostState string
+
+// The states of a host in the view.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+	HostSuspect HostState = "suspect"
+)
+
+// Host is one entry host of the system as another host sees it.
+type Host struct {
+	Name        string      `json:"name"`
+	DataCentre  string      `json:"data-centre"`
+	PeerAddress string      `json:"peer-address"`
+	Incarnation Incarnation `json:"incarnation"`
+	State       HostState   `json:"state"`
+}
+
+// View is the set of entry hosts that a host believes in, ordered by name.
+type View struct {
+	Self  string `json:"self"`
+	Hosts []Host `json:"hosts"`
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,91 @@
+package carobthread
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// RunState states whether a request had an effect.
+type RunState string
+
+// The run states of a request.
+const (
+	NotRun     RunState = "not-run"
+	MayHaveRun RunState = "may-have-run"
+	Ran        RunState = "ran"
+)
+
+// Reason is the cause of a refusal, a missing shard or an unknown outcome.
+type Reason string
+
+// The reasons stated to callers.
+const (
+	ReasonUnknownService  Reason = "unknown-service"
+	ReasonWrongKind       Reason = "wrong-kind"
+	ReasonDeadlinePassed  Reason = "deadline-passed"
+	ReasonTooLarge        Reason = "too-large"
+	ReasonMalformedKey    Reason = "malformed-key"
+	ReasonKeyExpired      Reason = "key-expired"
+	ReasonPayloadMismatch Reason = "payload-mismatch"
+	ReasonKeyTableFull    Reason = "key-table-full"
+	ReasonOverload        Reason = "overload"
+	ReasonStopping        Reason = "stopping"
+	ReasonNotReady        Reason = "not-ready"
+	ReasonNoReplica       Reason = "no-replica"
+	ReasonNoSlot          Reason = "no-slot"
+	ReasonTimeout         Reason = "timeout"
+	ReasonUpstreamFailed  Reason = "upstream-failed"
+	ReasonUpstreamShed    Reason = "upstream-shed"
+	ReasonSnapshotMissing Reason = "snapshot-missing"
+	ReasonLayoutMissing   Reason = "layout-missing"
+	ReasonHostUnreachable Reason = "host-unreachable"
+	ReasonConnectionLost  Reason = "connection-lost"
+)
+
+// RequestError is the failure of one request; its State is what callers may rely on.
+type RequestError struct {
+	State      RunState
+	Reason     Reason
+	Service    string
+	Detail     string
+	RetryAfter time.Duration
+}
+
+var _ error = (*RequestError)(nil)
+
+// Error formats the failure with its state and reason.
+func (failure *RequestError) Error() string {
+	text := fmt.Sprintf("service %q: %s: %s", failure.Service, failure.State, failure.Reason)
+	if failure.Detail != "" {
+		text += ": " + failure.Detail
+	}
+	return text
+}
+
+// Finding is one fault in an input file with its place; Line and Column count from 1.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// String formats the finding as file:line:column: message.
+func (finding Finding) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", finding.File, finding.Line, finding.Column, finding.Message)
+}
+
+// Findings is every fault found in one phase, reported together as one error.
+type Findings []Finding
+
+var _ error = Findings(nil)
+
+// Error formats one finding a line.
+func (findings Findings) Error() string {
+	lines := make([]string, len(findings))
+	for i, finding := range findings {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/event.go
@@ -0,0 +1,170 @@
+package carobthread
+
+// QueryID names a query on one entry host.
+type QueryID uint64
+
+// AttemptID names one attempt at one shard on one entry host.
+type AttemptID uint64
+
+// ReplyStatus states how an attempt ended.
+type ReplyStatus string
+
+// The ends of an attempt.
+const (
+	ReplyOK              ReplyStatus = "ok"
+	ReplySnapshotMissing ReplyStatus = "snapshot-missing"
+	ReplyLayoutMissing   ReplyStatus = "layout-missing"
+	ReplyShed            ReplyStatus = "shed"
+	ReplyDraining        ReplyStatus = "draining"
+	ReplyFailed          ReplyStatus = "failed"
+)
+
+// Event is one input of the query path's core; exactly one of the pointers is set.
+type Event struct {
+	At     Instant        `json:"at"`
+	Query  *QueryArrived  `json:"query,omitempty"`
+	Reply  *ReplyArrived  `json:"reply,omitempty"`
+	Gone   *CallerGone    `json:"gone,omitempty"`
+	Report *ReportArrived `json:"report,omitempty"`
+	Config *ConfigChanged `json:"config,omitempty"`
+	View   *ViewChanged   `json:"view,omitempty"`
+	Tick   *Ticked        `json:"tick,omitempty"`
+}
+
+// QueryArrived is a caller's query; a zero Deadline takes the service's hard deadline.
+type QueryArrived struct {
+	Query    QueryID `json:"query"`
+	Service  string  `json:"service"`
+	Deadline Instant `json:"deadline"`
+	Size     int     `json:"size"`
+}
+
+// ReplyArrived is the end of an attempt as the searcher or the connection states it.
+type ReplyArrived struct {
+	Query         QueryID     `json:"query"`
+	Attempt       AttemptID   `json:"attempt"`
+	Shard         uint32      `json:"shard"`
+	Snapshot      uint64      `json:"snapshot"`
+	Layout        uint32      `json:"layout"`
+	Status        ReplyStatus `json:"status"`
+	Draining      bool        `json:"draining,omitempty"`
+	HeldSnapshots []uint64    `json:"held-snapshots,omitempty"`
+	// SnapshotAgeMicros is the age of the snapshot at the searcher in microseconds.
+	SnapshotAgeMicros int64 `json:"snapshot-age-us,omitempty"`
+}
+
+// CallerGone says that nobody waits for the query any more.
+type CallerGone struct {
+	Query QueryID `json:"query"`
+}
+
+// ReportArrived is a searcher's own statement of its health and load, which may lag or mislead.
+type ReportArrived struct {
+	Searcher          string   `json:"searcher"`
+	Healthy           bool     `json:"healthy"`
+	Draining          bool     `json:"draining"`
+	Running           int      `json:"running"`
+	Queued            int      `json:"queued"`
+	HeldSnapshots     []uint64 `json:"held-snapshots,omitempty"`
+	SnapshotAgeMicros int64    `json:"snapshot-age-us,omitempty"`
+}
+
+// ConfigChanged replaces the whole configuration in force.
+type ConfigChanged struct {
+	Config Config `json:"config"`
+}
+
+// ViewChanged replaces the view of live entry hosts.
+type ViewChanged struct {
+	View View `json:"view"`
+}
+
+// Ticked passes time; LateMicros is how far the tick came after it was due, in microseconds.
+type Ticked struct {
+	LateMicros int64 `json:"late-us,omitempty"`
+}
+
+// Action is one output of the query path's core; exactly one of the pointers is set.
+type Action struct {
+	Send    *SendAttempt    `json:"send,omitempty"`
+	Cancel  *CancelAttempt  `json:"cancel,omitempty"`
+	Answer  *AnswerQuery    `json:"answer,omitempty"`
+	Refuse  *RefuseQuery    `json:"refuse,omitempty"`
+	Connect *SetConnections `json:"connect,omitempty"`
+}
+
+// AttemptKind states why an attempt was sent.
+type AttemptKind string
+
+// The kinds of attempts; all but the first count as extra load.
+const (
+	AttemptFirst AttemptKind = "first"
+	AttemptHedge AttemptKind = "hedge"
+	AttemptRetry AttemptKind = "retry"
+	AttemptMove  AttemptKind = "move"
+)
+
+// SendAttempt asks the process to send one shard request; Snapshot 0 asks for the newest one held.
+type SendAttempt struct {
+	Query    QueryID     `json:"query"`
+	Attempt  AttemptID   `json:"attempt"`
+	Kind     AttemptKind `json:"kind"`
+	Service  string      `json:"service"`
+	Shard    uint32      `json:"shard"`
+	Searcher string      `json:"searcher"`
+	Snapshot uint64      `json:"snapshot"`
+	Layout   uint32      `json:"layout"`
+	Deadline Instant     `json:"deadline"`
+}
+
+// CancelAttempt asks the process to cancel an attempt whose reply no longer matters.
+type CancelAttempt struct {
+	Query   QueryID   `json:"query"`
+	Attempt AttemptID `json:"attempt"`
+}
+
+// MissingShard names a shard that is not part of an answer and the reason.
+type MissingShard struct {
+	Shard  uint32 `json:"shard"`
+	Reason Reason `json:"reason"`
+}
+
+// Coverage states how many shards of the layout an answer covers.
+type Coverage struct {
+	Answered uint32         `json:"answered"`
+	Total    uint32         `json:"total"`
+	Missing  []MissingShard `json:"missing,omitempty"`
+}
+
+// AnswerQuery asks the process to merge the replies of the named attempts and answer the caller.
+type AnswerQuery struct {
+	Query    QueryID  `json:"query"`
+	Service  string   `json:"service"`
+	Coverage Coverage `json:"coverage"`
+	Snapshot uint64   `json:"snapshot"`
+	Layout   uint32   `json:"layout"`
+	// SnapshotAgeMicros is the greatest age stated by a merged reply, or -1 without one.
+	SnapshotAgeMicros int64       `json:"snapshot-age-us"`
+	Merge             []AttemptID `json:"merge"`
+	Attempts          uint32      `json:"attempts"`
+}
+
+// RefuseQuery asks the process to refuse a query as not run.
+type RefuseQuery struct {
+	Query            QueryID `json:"query"`
+	Service          string  `json:"service"`
+	Reason           Reason  `json:"reason"`
+	RetryAfterMicros int64   `json:"retry-after-us,omitempty"`
+}
+
+// SetConnections asks the process to keep this many connections open to a searcher.
+type SetConnections struct {
+	Searcher string `json:"searcher"`
+	Count    int    `json:"count"`
+}
+
+// Decider is the core of the query path.
+type Decider interface {
+	// Step takes one event and returns the actions it calls for, in order.
+	Step(event Event) []Action
+}
