Add the parser of settings and change tickets

Cause: the daemon needs its settings and every host needs tickets in one form, with all faults of a file reported at once and in place.

Before: no configuration could be read. No speed has been measured.

Conclusion: the daemon can be wired to settings, and the configuration state can be built on the published form.

--- /dev/null
+++ b/parser/publish.go
@@ -0,0 +1,222 @@
+package parser
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"carobthread"
+)
+
+// A ticket is published as one platform value for each object, under the key
+// object/ID, and the index, under the key index. An object's value repeats
+// the ticket's number and object list, so that a reader knows from any one
+// value which others belong to the ticket. The encoding is canonical: equal
+// objects give equal bytes, whatever the file they were read from looked like.
+
+// Keys and key prefixes of the platform's values.
+const (
+	// IndexKey holds the ticket number of each object.
+	IndexKey = "index"
+	// ObjectPrefix stands before the id of an object.
+	ObjectPrefix = "object/"
+	// HostsKey holds the platform's list of hosts.
+	HostsKey = "hosts"
+)
+
+const (
+	objectSection  = "object"
+	indexSection   = "index"
+	objectsSection = "objects"
+)
+
+// Published is one object with the ids of all objects of its ticket, ordered.
+type Published struct {
+	Object  carobthread.Object
+	Objects []carobthread.ObjectID
+}
+
+// Index is the platform's list of objects with their ticket numbers; Revision rises with each published ticket.
+type Index struct {
+	Revision uint64
+	Numbers  map[carobthread.ObjectID]uint64
+}
+
+// ObjectKey returns the platform key of an object.
+func ObjectKey(id carobthread.ObjectID) string { return ObjectPrefix + string(id) }
+
+// Publish returns the values of a ticket's objects, ordered by key; the index is written after them.
+func Publish(ticket *carobthread.Ticket) []carobthread.Value {
+	ids := make([]carobthread.ObjectID, len(ticket.Objects))
+	for i := range ticket.Objects {
+		ids[i] = ticket.Objects[i].ID
+	}
+	slices.Sort(ids)
+	values := make([]carobthread.Value, len(ids))
+	for i := range ticket.Objects {
+		published := Published{Object: ticket.Objects[i], Objects: ids}
+		published.Object.Ticket = ticket.Number
+		values[i] = carobthread.Value{Key: ObjectKey(published.Object.ID), Content: EncodeObject(&published)}
+	}
+	slices.SortFunc(values, func(left, right carobthread.Value) int { return strings.Compare(left.Key, right.Key) })
+	return values
+}
+
+// EncodeObject returns the canonical value of an object.
+func EncodeObject(published *Published) []byte {
+	object := &published.Object
+	writer := &writer{}
+	writer.section(objectSection)
+	writer.key("id", string(object.ID))
+	writer.key("ticket", strconv.FormatUint(object.Ticket, 10))
+	writer.key("objects", joinIDs(published.Objects))
+	writer.section(strings.ReplaceAll(string(object.ID), "/", " "))
+	switch {
+	case object.Service != nil:
+		writer.service(object.Service)
+	case object.Layout != nil:
+		for shard, replicas := range object.Layout.Shards {
+			writer.key(shardPrefix+strconv.Itoa(shard), strings.Join(replicas, ", "))
+		}
+	case object.Searcher != nil:
+		writer.searcher(object.Searcher)
+	}
+	return []byte(writer.String())
+}
+
+// DecodeObject reads an object's value; file names its origin in findings.
+func DecodeObject(file string, content []byte) (Published, carobthread.Findings) {
+	doc := scan(file, content)
+	published := doc.published()
+	return published, ordered(doc.findings)
+}
+
+func (doc *document) published() Published {
+	published := Published{}
+	doc.demand(objectSection)
+	head := doc.section(objectSection)
+	if head == nil {
+		return published
+	}
+	var id string
+	var number uint64
+	doc.read(
+		head,
+		required("id", text(&id)),
+		required("ticket", integer(&number, 1, maxNumber)),
+		required("objects", objectIDs(&published.Objects)),
+	)
+	slices.Sort(published.Objects)
+	for _, current := range doc.sections {
+		if current == head {
+			continue
+		}
+		object, found := doc.object(current, number)
+		if found && string(object.ID) != id {
+			doc.report(current.at, "section [%s] is not the object %q", current.name, id)
+		} else if found {
+			published.Object = object
+		}
+	}
+	if published.Object.ID == "" {
+		doc.report(head.at, "object %q has no section", id)
+	}
+	if _, listed := slices.BinarySearch(published.Objects, published.Object.ID); !listed {
+		doc.report(head.at, "object %q is not in its ticket's objects", id)
+	}
+	return published
+}
+
+// EncodeIndex returns the canonical value of the index, ordered by object id.
+func EncodeIndex(index *Index) []byte {
+	ids := make([]carobthread.ObjectID, 0, len(index.Numbers))
+	for id := range index.Numbers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	writer := &writer{}
+	writer.section(indexSection)
+	writer.key("revision", strconv.FormatUint(index.Revision, 10))
+	writer.section(objectsSection)
+	for _, id := range ids {
+		// No spaces: at 32,000 searchers the index must stay under the platform's 1 MB.
+		writer.WriteString(string(id) + "=" + strconv.FormatUint(index.Numbers[id], 10) + "\n")
+	}
+	return []byte(writer.String())
+}
+
+// DecodeIndex reads the index; file names its origin in findings.
+func DecodeIndex(file string, content []byte) (Index, carobthread.Findings) {
+	doc := scan(file, content)
+	index := Index{Numbers: map[carobthread.ObjectID]uint64{}}
+	doc.demand(indexSection, objectsSection)
+	for _, current := range doc.sections {
+		switch current.name {
+		case indexSection:
+			doc.read(current, required("revision", integer(&index.Revision, 0, maxNumber)))
+		case objectsSection:
+			doc.numbers(current, index.Numbers)
+		default:
+			doc.report(current.at, "unknown section [%s]", current.name)
+		}
+	}
+	return index, ordered(doc.findings)
+}
+
+func (doc *document) numbers(current *section, numbers map[carobthread.ObjectID]uint64) {
+	for _, held := range current.entries {
+		if err := checkID(held.name); err != nil {
+			doc.report(held.at, "%v", err)
+			continue
+		}
+		var number uint64
+		doc.convert(held, integer(&number, 1, maxNumber))
+		numbers[carobthread.ObjectID(held.name)] = number
+	}
+}
+
+// writer builds INI text.
+type writer struct{ strings.Builder }
+
+func (writer *writer) section(name string) {
+	if writer.Len() > 0 {
+		writer.WriteByte('\n')
+	}
+	writer.WriteString("[" + name + "]\n")
+}
+
+func (writer *writer) key(name, value string) {
+	writer.WriteString(name + " = " + value + "\n")
+}
+
+func (writer *writer) service(service *carobthread.Service) {
+	writer.key("kind", string(service.Kind))
+	writer.key("preference", string(service.Preference))
+	writer.key("soft-deadline", service.SoftDeadline.String())
+	writer.key("hard-deadline", service.HardDeadline.String())
+	writer.key("coverage-floor", formatShare(service.CoverageFloor))
+	writer.key("hedge-quantile", formatShare(service.HedgeQuantile))
+	writer.key("extra-share", formatShare(service.ExtraShare))
+	writer.key("max-in-flight", strconv.Itoa(service.MaxInFlight))
+	writer.key("max-request-size", formatSize(service.MaxRequestSize))
+	writer.key("max-reply-size", formatSize(service.MaxReplySize))
+	writer.key("layout", strconv.FormatUint(uint64(service.Layout), 10))
+}
+
+func (writer *writer) searcher(searcher *carobthread.Searcher) {
+	writer.key("address", searcher.Address)
+	writer.key("data-centre", searcher.DataCentre)
+	writer.key("slots", strconv.Itoa(searcher.Slots))
+	writer.key("connections", strconv.Itoa(searcher.Connections))
+	writer.key("leaving", strconv.FormatBool(searcher.Leaving))
+}
+
+func formatShare(part float64) string { return strconv.FormatFloat(part, 'g', -1, 64) }
+
+func joinIDs(ids []carobthread.ObjectID) string {
+	words := make([]string, len(ids))
+	for i, id := range ids {
+		words[i] = string(id)
+	}
+	return strings.Join(words, ", ")
+}
--- /dev/null
+++ b/parser/settings.go
@@ -0,0 +1,175 @@
+package parser
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"carobthread"
+)
+
+// Ranges of the settings.
+const (
+	megabyte           = 1 << 20
+	kilobyte           = 1 << 10
+	maxRequestSize     = 16 * megabyte
+	maxReplySize       = 64 * megabyte
+	maxUsedKeys        = 10_000_000
+	maxUsedKeyBytes    = 1024 * megabyte
+	maxStopDuration    = time.Hour
+	defaultRequestSize = 64 * kilobyte
+	defaultReplySize   = megabyte
+)
+
+// DefaultSettings returns the settings without the required keys.
+func DefaultSettings() carobthread.Settings {
+	return carobthread.Settings{
+		Limits: carobthread.LimitSettings{
+			MaxRequestSize: defaultRequestSize,
+			MaxReplySize:   defaultReplySize,
+			MaxHeaderSize:  16 * kilobyte,
+			ReadTimeout:    5 * time.Second,
+			IdleTimeout:    2 * time.Minute,
+			MaxKeys:        100_000,
+			MaxKeyBytes:    64 * megabyte,
+			KeyExpiry:      10 * time.Minute,
+		},
+		Stop: carobthread.StopSettings{Grace: 3 * time.Second, Limit: 30 * time.Second},
+		Log:  carobthread.LogSettings{Level: "info"},
+	}
+}
+
+// Settings reads a settings file; settings with findings must not be used.
+func Settings(file string, content []byte) (carobthread.Settings, carobthread.Findings) {
+	doc := scan(file, content)
+	settings := DefaultSettings()
+	doc.settings(&settings)
+	return settings, ordered(doc.findings)
+}
+
+func (doc *document) settings(settings *carobthread.Settings) {
+	readers := settingsFields(settings)
+	for _, current := range doc.sections {
+		fields, known := readers[current.name]
+		if !known {
+			doc.report(current.at, "unknown section [%s]", current.name)
+			continue
+		}
+		doc.read(current, fields...)
+	}
+	doc.demand("host", "platform")
+	doc.checkStop(settings.Stop)
+}
+
+func settingsFields(settings *carobthread.Settings) map[string][]field {
+	host := &settings.Host
+	limits := &settings.Limits
+	stop := &settings.Stop
+	return map[string][]field{
+		"host": {
+			required("name", name(&host.Name)),
+			required("data-centre", name(&host.DataCentre)),
+			required("caller-address", listenAddress(&host.CallerAddress)),
+			required("peer-address", listenAddress(&host.PeerAddress)),
+			required("operator-address", listenAddress(&host.OperatorAddress)),
+		},
+		"platform": {required("address", address(&settings.Platform.Address))},
+		"peers":    {optional("addresses", seedPeers(&settings.Peers.Addresses))},
+		"limits": {
+			optional("max-request-size", size(&limits.MaxRequestSize, kilobyte, maxRequestSize)),
+			optional("max-reply-size", size(&limits.MaxReplySize, kilobyte, maxReplySize)),
+			optional("max-header-size", size(&limits.MaxHeaderSize, kilobyte, megabyte)),
+			optional("read-timeout", duration(&limits.ReadTimeout, 10*time.Millisecond, 5*time.Minute)),
+			optional("idle-timeout", duration(&limits.IdleTimeout, 100*time.Millisecond, time.Hour)),
+			optional("max-keys", integer(&limits.MaxKeys, 1, maxUsedKeys)),
+			optional("max-key-bytes", size(&limits.MaxKeyBytes, 4*kilobyte, maxUsedKeyBytes)),
+			optional("key-expiry", duration(&limits.KeyExpiry, time.Second, 24*time.Hour)),
+		},
+		"stop": {
+			optional("grace", duration(&stop.Grace, 0, 5*time.Minute)),
+			optional("limit", duration(&stop.Limit, 100*time.Millisecond, maxStopDuration)),
+		},
+		"trace": {
+			optional("spans", spanTarget(&settings.Trace.Spans)),
+			optional("events", filePath(&settings.Trace.Events)),
+		},
+		"log": {optional("level", choice(&settings.Log.Level, "debug", "info", "warn", "error"))},
+	}
+}
+
+// checkStop reports a hard limit that would end the process within the grace period.
+func (doc *document) checkStop(stop carobthread.StopSettings) {
+	current := doc.section("stop")
+	if current == nil || stop.Limit > stop.Grace {
+		return
+	}
+	doc.report(current.at, "limit %s must exceed grace %s", stop.Limit, stop.Grace)
+}
+
+func seedPeers(target *[]carobthread.SeedPeer) converter {
+	return func(value *ini.Key) error {
+		var items []string
+		if err := list(&items, checkSeedPeer)(value); err != nil {
+			return err
+		}
+		for _, item := range items {
+			*target = append(*target, splitSeedPeer(item))
+		}
+		return nil
+	}
+}
+
+func splitSeedPeer(item string) carobthread.SeedPeer {
+	name, address, found := strings.Cut(item, "=")
+	if !found {
+		return carobthread.SeedPeer{Address: item}
+	}
+	return carobthread.SeedPeer{Name: strings.TrimSpace(name), Address: strings.TrimSpace(address)}
+}
+
+func checkSeedPeer(item string) error {
+	peer := splitSeedPeer(item)
+	if strings.Contains(item, "=") {
+		if err := checkName(peer.Name); err != nil {
+			return err
+		}
+	}
+	parsed, err := netip.ParseAddrPort(peer.Address)
+	if err != nil || parsed.Port() == 0 {
+		return fmt.Errorf("%q is not IP:PORT or NAME=IP:PORT", item)
+	}
+	return nil
+}
+
+func filePath(target *string) converter {
+	return func(value *ini.Key) error {
+		if strings.Contains(value.Value(), "://") {
+			return fmt.Errorf("%q is not a file path", value.Value())
+		}
+		*target = filepath.Clean(value.Value())
+		return nil
+	}
+}
+
+// spanTarget accepts a file path or the http URL of an OTLP endpoint.
+func spanTarget(target *string) converter {
+	return func(value *ini.Key) error {
+		if !strings.Contains(value.Value(), "://") {
+			return filePath(target)(value)
+		}
+		parsed, err := url.Parse(value.Value())
+		if err != nil || parsed.Scheme != "http" {
+			return fmt.Errorf("%q is not an http URL or a file path", value.Value())
+		}
+		if _, err := netip.ParseAddrPort(parsed.Host); err != nil {
+			return fmt.Errorf("%q has no IP:PORT", value.Value())
+		}
+		*target = value.Value()
+		return nil
+	}
+}
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,88 @@
+package carobthread
+
+import "time"
+
+// Settings are the settings of one daemon process; all addresses are IP:PORT.
+type Settings struct {
+	Host     HostSettings
+	Platform PlatformSettings
+	Peers    PeerSettings
+	Limits   LimitSettings
+	Stop     StopSettings
+	Trace    TraceSettings
+	Log      LogSettings
+}
+
+// HostSettings is section [host], which is required; an address with port 0 listens on a free port.
+type HostSettings struct {
+	// Name is the key name; it is unique in the system.
+	Name string
+	// DataCentre is the key data-centre.
+	DataCentre string
+	// CallerAddress is the key caller-address, where callers connect.
+	CallerAddress string
+	// PeerAddress is the key peer-address, where the other hosts connect.
+	PeerAddress string
+	// OperatorAddress is the key operator-address, for metrics, health and status.
+	OperatorAddress string
+}
+
+// PlatformSettings is section [platform], which is required.
+type PlatformSettings struct {
+	// Address is the key address, where the configuration service answers HTTP.
+	Address string
+}
+
+// PeerSettings is section [peers], which is optional.
+type PeerSettings struct {
+	// Addresses is the key addresses: seed peers separated by commas, each NAME=IP:PORT or IP:PORT; default none.
+	Addresses []SeedPeer
+}
+
+// SeedPeer is a peer known from the settings; Name is empty until the hello check states it.
+type SeedPeer struct {
+	Name    string
+	Address string
+}
+
+// LimitSettings is section [limits], which is optional.
+type LimitSettings struct {
+	// MaxRequestSize is the key max-request-size in bytes, default 64KB, 1KB to 16MB.
+	MaxRequestSize int
+	// MaxReplySize is the key max-reply-size in bytes, default 1MB, 1KB to 64MB.
+	MaxReplySize int
+	// MaxHeaderSize is the key max-header-size in bytes, default 16KB, 1KB to 1MB.
+	MaxHeaderSize int
+	// ReadTimeout is the key read-timeout for one request of a caller, default 5s, 10ms to 5m.
+	ReadTimeout time.Duration
+	// IdleTimeout is the key idle-timeout of a caller's connection, default 2m, 100ms to 1h.
+	IdleTimeout time.Duration
+	// MaxKeys is the key max-keys, the entries of the used-key table, default 100000, 1 to 10000000.
+	MaxKeys int
+	// MaxKeyBytes is the key max-key-bytes, the bytes of the used-key table, default 64MB, 4KB to 1024MB.
+	MaxKeyBytes int
+	// KeyExpiry is the key key-expiry, the life of a reserved key, default 10m, 1s to 24h.
+	KeyExpiry time.Duration
+}
+
+// StopSettings is section [stop], which is optional.
+type StopSettings struct {
+	// Grace is the key grace, the time for the balancer to see that the host is not ready, default 3s, 0s to 5m.
+	Grace time.Duration
+	// Limit is the key limit, after which a stop ends the process, default 30s, 100ms to 1h; it exceeds Grace.
+	Limit time.Duration
+}
+
+// TraceSettings is section [trace], which is optional; an empty value records nothing.
+type TraceSettings struct {
+	// Spans is the key spans: a file path or the http URL of an OTLP endpoint on an IP address; default none.
+	Spans string
+	// Events is the key events: a file path for the decision trace; default none.
+	Events string
+}
+
+// LogSettings is section [log], which is optional.
+type LogSettings struct {
+	// Level is the key level: debug, info, warn or error; default info.
+	Level string
+}
