Add the applier of change tickets

Cause: each host needs the active configuration as a core that accepts objects in any order from the platform and peers and never applies part of a ticket.

Change: applier.Applier stages encoded objects by ticket and puts the greatest set of tickets into force that is complete, has no dangling reference and is at most 1 MB a ticket.

Before: no active state.

--- /dev/null
+++ b/applier/stage.go
@@ -0,0 +1,272 @@
+package applier
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"carobthread"
+	"carobthread/parser"
+)
+
+// Staged tickets wait until they can take effect. settle looks for the
+// greatest set of staged tickets that may take effect together: it starts
+// with all of them and removes those that fail until none does. A ticket
+// stays in the set when
+//
+//   - each object of its list is in force, or staged by a ticket of the set,
+//     with at least the ticket's number;
+//   - each reference of its objects names an object that is in force or
+//     staged by a ticket of the set;
+//   - the sections of its objects together are at most 1 MB.
+//
+// The conditions only become easier as more objects are in force, so the
+// outcome does not depend on the order of arrival. For the same reason a
+// ticket with dangling references is reported as refused but stays staged:
+// the ticket that defines the missing objects may arrive later. Values of
+// several tickets may be on their way at once, above all on a starting host,
+// so that a ticket is reported only after it has waited for some seconds.
+
+// stagedTicket is one ticket of which some objects are not in force.
+type stagedTicket struct {
+	number uint64
+	list   []carobthread.ObjectID
+	rows   map[carobthread.ObjectID]*row
+	source string
+	since  carobthread.Instant
+	// findings are those last reported.
+	findings carobthread.Findings
+}
+
+// stage stores a row that is neither in force nor staged.
+func (applier *Applier) stage(now carobthread.Instant, arrived *row) {
+	id, number := arrived.object.ID, arrived.object.Ticket
+	arrived.list = applier.lists.retain(number, arrived.list)
+	ticket := applier.staged[number]
+	if ticket == nil {
+		ticket = &stagedTicket{
+			number: number,
+			list:   arrived.list,
+			rows:   map[carobthread.ObjectID]*row{},
+			source: arrived.source,
+			since:  now,
+		}
+		applier.staged[number] = ticket
+	}
+	ticket.rows[id] = arrived
+	applier.stagedBytes += arrived.size
+	applier.waiting[id] = append(applier.waiting[id], number)
+}
+
+// unstage removes a ticket and its rows.
+func (applier *Applier) unstage(ticket *stagedTicket) {
+	for id, staged := range ticket.rows {
+		numbers := applier.waiting[id]
+		numbers = slices.DeleteFunc(numbers, func(number uint64) bool { return number == ticket.number })
+		if len(numbers) == 0 {
+			delete(applier.waiting, id)
+		} else {
+			applier.waiting[id] = numbers
+		}
+		applier.stagedBytes -= staged.size
+		applier.lists.release(ticket.number)
+	}
+	delete(applier.staged, ticket.number)
+}
+
+// descending returns the staged numbers, highest first.
+func (applier *Applier) descending() []uint64 {
+	numbers := make([]uint64, 0, len(applier.staged))
+	for number := range applier.staged {
+		numbers = append(numbers, number)
+	}
+	slices.SortFunc(numbers, func(left, right uint64) int { return cmp.Compare(right, left) })
+	return numbers
+}
+
+// settle puts every ticket into force that can take effect.
+func (applier *Applier) settle() {
+	numbers := applier.descending()
+	ready := applier.largest(numbers, func(set ticketSet, ticket *stagedTicket) bool {
+		return applier.isComplete(set, ticket) && len(applier.faults(set, ticket)) == 0
+	})
+	applier.enforceAll(ready.numbers(numbers))
+}
+
+// ticketSet is a set of staged tickets.
+type ticketSet map[uint64]bool
+
+// numbers returns the members in the order of the given numbers.
+func (set ticketSet) numbers(order []uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(order), func(number uint64) bool { return !set[number] })
+}
+
+// largest returns the greatest subset in which each ticket fits the subset.
+// Tickets depend on higher numbers for their objects, so that going down
+// settles these in one pass; only references can take more.
+func (applier *Applier) largest(descending []uint64, fits func(ticketSet, *stagedTicket) bool) ticketSet {
+	set := make(ticketSet, len(descending))
+	for _, number := range descending {
+		set[number] = true
+	}
+	for changed := true; changed; {
+		changed = false
+		for _, number := range descending {
+			if set[number] && !fits(set, applier.staged[number]) {
+				delete(set, number)
+				changed = true
+			}
+		}
+	}
+	return set
+}
+
+func (applier *Applier) isComplete(set ticketSet, ticket *stagedTicket) bool {
+	for _, id := range ticket.list {
+		if !applier.covered(set, id, ticket.number) {
+			return false
+		}
+	}
+	return true
+}
+
+// covered reports whether an object is in force or staged in the set with at least this number.
+func (applier *Applier) covered(set ticketSet, id carobthread.ObjectID, least uint64) bool {
+	if applier.number(id) >= least {
+		return true
+	}
+	return slices.ContainsFunc(applier.waiting[id], func(number uint64) bool { return number >= least && set[number] })
+}
+
+// faults returns the findings on the objects of a ticket that would be in force with the set.
+func (applier *Applier) faults(set ticketSet, ticket *stagedTicket) carobthread.Findings {
+	findings := carobthread.Findings{}
+	size := 0
+	for _, id := range ticket.list {
+		staged := ticket.rows[id]
+		if staged == nil || applier.covered(set, id, ticket.number+1) {
+			continue
+		}
+		size += parser.SectionSize(&staged.object)
+		for _, needed := range parser.References(&staged.object) {
+			if !applier.covered(set, needed, 1) {
+				findings = append(findings, ticket.finding("%s refers to %s, which does not exist", id, needed))
+			}
+		}
+	}
+	if size > parser.MaxSize {
+		findings = append(findings, ticket.finding("objects have %d bytes, the limit is %d", size, parser.MaxSize))
+	}
+	return findings
+}
+
+func (ticket *stagedTicket) finding(format string, arguments ...any) carobthread.Finding {
+	return carobthread.Finding{
+		File:    fmt.Sprintf("ticket %d from %s", ticket.number, ticket.source),
+		Line:    1,
+		Column:  1,
+		Message: fmt.Sprintf(format, arguments...),
+	}
+}
+
+// enforceAll puts the tickets into force, lowest number first, so that each object ends with its highest number.
+func (applier *Applier) enforceAll(descending []uint64) {
+	changed := &Changed{}
+	for _, number := range slices.Backward(descending) {
+		ticket := applier.staged[number]
+		before := len(changed.Objects)
+		for _, id := range ticket.list {
+			staged := ticket.rows[id]
+			if staged != nil && applier.number(id) < number {
+				applier.enforce(staged)
+				changed.Objects = append(changed.Objects, id)
+			}
+		}
+		if len(changed.Objects) > before {
+			changed.Tickets = append(changed.Tickets, number)
+		}
+		applier.unstage(ticket)
+	}
+	if len(changed.Tickets) == 0 {
+		return
+	}
+	slices.Sort(changed.Objects)
+	changed.Objects = slices.Compact(changed.Objects)
+	applier.actions = append(applier.actions, Action{Changed: changed})
+}
+
+// evict drops the staged tickets with the lowest numbers until the rest is within its bound.
+// A dropped ticket that is in force elsewhere comes again with the next exchange.
+func (applier *Applier) evict(now carobthread.Instant) {
+	if applier.stagedBytes <= applier.options.StagedBytes {
+		return
+	}
+	for _, number := range slices.Backward(applier.descending()) {
+		if applier.stagedBytes <= applier.options.StagedBytes {
+			return
+		}
+		ticket := applier.staged[number]
+		applier.unstage(ticket)
+		applier.refuse(now, ticket.source, number, carobthread.Findings{
+			ticket.finding("dropped, staged tickets exceed %d bytes", applier.options.StagedBytes),
+		})
+	}
+}
+
+// missing returns the ids of a ticket's list that neither the state nor the staged tickets cover.
+func (applier *Applier) missing(ticket *stagedTicket) []carobthread.ObjectID {
+	missing := []carobthread.ObjectID{}
+	for _, id := range ticket.list {
+		staged := slices.ContainsFunc(applier.waiting[id], func(number uint64) bool { return number >= ticket.number })
+		if !staged && applier.number(id) < ticket.number {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
+// reportWaiting reports each staged ticket once its wait is no longer explained by values on their way.
+func (applier *Applier) reportWaiting(now carobthread.Instant) {
+	numbers := applier.descending()
+	complete := applier.largest(numbers, applier.isComplete)
+	for _, number := range slices.Backward(numbers) {
+		ticket := applier.staged[number]
+		waited := now.Sub(ticket.since)
+		switch {
+		case complete[number] && waited >= danglingAfter:
+			applier.refuseStaged(now, ticket, applier.obstacles(complete, ticket))
+		case waited >= halfPublishedAfter:
+			applier.refuseStaged(now, ticket, applier.gaps(ticket))
+		}
+	}
+}
+
+// obstacles returns the findings on a ticket that has arrived but cannot take effect.
+func (applier *Applier) obstacles(complete ticketSet, ticket *stagedTicket) carobthread.Findings {
+	findings := applier.faults(complete, ticket)
+	if len(findings) == 0 {
+		findings = append(findings, ticket.finding("needs objects of other tickets that are refused"))
+	}
+	return findings
+}
+
+// gaps returns the findings on a ticket that has not arrived as a whole.
+func (applier *Applier) gaps(ticket *stagedTicket) carobthread.Findings {
+	findings := carobthread.Findings{}
+	for _, id := range applier.missing(ticket) {
+		findings = append(findings, ticket.finding("half published, %s has not arrived", id))
+	}
+	if len(findings) == 0 {
+		findings = append(findings, ticket.finding("needs objects of other tickets that are incomplete"))
+	}
+	return findings
+}
+
+// refuseStaged reports the findings of a staged ticket once.
+func (applier *Applier) refuseStaged(now carobthread.Instant, ticket *stagedTicket, findings carobthread.Findings) {
+	if slices.Equal(findings, ticket.findings) {
+		return
+	}
+	ticket.findings = findings
+	applier.refuse(now, ticket.source, ticket.number, findings)
+}
--- a/parser/publish.go
+++ b/parser/publish.go
@@ -70,20 +70,17 @@
 	writer.key("id", string(object.ID))
 	writer.key("ticket", strconv.FormatUint(object.Ticket, 10))
 	writer.key("objects", joinIDs(published.Objects))
-	writer.section(strings.ReplaceAll(string(object.ID), "/", " "))
-	switch {
-	case object.Service != nil:
-		writer.service(object.Service)
-	case object.Layout != nil:
-		for shard, replicas := range object.Layout.Shards {
-			writer.key(shardPrefix+strconv.Itoa(shard), strings.Join(replicas, ", "))
-		}
-	case object.Searcher != nil:
-		writer.searcher(object.Searcher)
-	}
+	writer.object(object)
 	return []byte(writer.String())
 }
 
+// SectionSize returns the bytes of an object's canonical section, which count towards the size of its ticket.
+func SectionSize(object *carobthread.Object) int {
+	writer := &writer{}
+	writer.object(object)
+	return writer.Len()
+}
+
 // DecodeObject reads an object's value; file names its origin in findings.
 func DecodeObject(file string, content []byte) (Published, carobthread.Findings) {
 	doc := scan(file, content)
@@ -189,6 +186,20 @@
 	writer.WriteString(name + " = " + value + "\n")
 }
 
+func (writer *writer) object(object *carobthread.Object) {
+	writer.section(strings.ReplaceAll(string(object.ID), "/", " "))
+	switch {
+	case object.Service != nil:
+		writer.service(object.Service)
+	case object.Layout != nil:
+		for shard, replicas := range object.Layout.Shards {
+			writer.key(shardPrefix+strconv.Itoa(shard), strings.Join(replicas, ", "))
+		}
+	case object.Searcher != nil:
+		writer.searcher(object.Searcher)
+	}
+}
+
 func (writer *writer) service(service *carobthread.Service) {
 	writer.key("kind", string(service.Kind))
 	writer.key("preference", string(service.Preference))
--- a/parser/ticket.go
+++ b/parser/ticket.go
@@ -104,11 +104,18 @@
 	}
 }
 
-// checkPublished reports objects whose published value, which repeats the ticket's object list, exceeds the platform's limit.
+// checkPublished reports a ticket whose sections with all defaults spelled out, or one of whose values, exceed the limit.
 func (doc *document) checkPublished(ticket *carobthread.Ticket) {
 	if len(doc.findings) > 0 {
 		return
 	}
+	total := 0
+	for i := range ticket.Objects {
+		total += SectionSize(&ticket.Objects[i])
+	}
+	if total > MaxSize {
+		doc.report(place{1, 1}, "objects have %d bytes with all keys spelled out, the limit is %d", total, MaxSize)
+	}
 	for _, value := range Publish(ticket) {
 		if len(value.Content) > MaxSize {
 			doc.report(place{1, 1}, "value of %s has %d bytes, the limit is %d", value.Key, len(value.Content), MaxSize)
