--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -11,5 +11,7 @@
 
 // commands lists the subcommands; each one stands in a file of its own.
 func commands() []command {
-	return []command{}
+	return []command{
+		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
+	}
 }
--- /dev/null
+++ b/cmd/carobctl/demo.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"carobthread/internal/demonstrator"
+)
+
+// demoLimit ends a demonstration that hangs.
+const demoLimit = 20 * time.Second
+
+type demoCommand struct {
+	JSON bool `long:"json" description:"print one JSON object a line"`
+}
+
+// Execute runs the demonstration.
+func (command *demoCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	demo, err := demonstrator.New(os.Stdout, command.JSON)
+	if err != nil {
+		return err
+	}
+	err = demo.Run(ctx)
+	return errors.Join(err, demo.Close())
+}
--- /dev/null
+++ b/internal/demonstrator/demonstrator_test.go
@@ -0,0 +1,36 @@
+package demonstrator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carobthread/internal/demonstrator"
+)
+
+// Guards against an answer that does not state its coverage or snapshot, and against a stop that cuts a request.
+func TestDemonstrationAnswersEveryQuery(t *testing.T) {
+	output := new(bytes.Buffer)
+	demo, err := demonstrator.New(output, true)
+	assert.NilError(t, err)
+	assert.NilError(t, demo.Run(context.Background()))
+	assert.NilError(t, demo.Close())
+	decoder := json.NewDecoder(output)
+	answers := 0
+	for {
+		var result demonstrator.Result
+		err := decoder.Decode(&result)
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, result.Error, "")
+		assert.Assert(t, result.Coverage != "" && result.Snapshot != 0)
+		answers++
+	}
+	assert.Assert(t, answers >= 80, "answers: %d", answers)
+}
--- /dev/null
+++ b/server/failure.go
@@ -0,0 +1,62 @@
+package server
+
+import (
+	"errors"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	"carobthread"
+)
+
+// Headers of an error response that state what callers may rely on.
+const (
+	headerState      = "Carobthread-State"
+	headerReason     = "Carobthread-Reason"
+	headerRetryAfter = "Retry-After"
+)
+
+// connectError maps a failure to a connect error whose metadata carries state, reason and retry-after in seconds.
+func connectError(failure *carobthread.RequestError) error {
+	mapped := connect.NewError(codeOf(failure), failure)
+	mapped.Meta().Set(headerState, string(failure.State))
+	mapped.Meta().Set(headerReason, string(failure.Reason))
+	if failure.RetryAfter > 0 {
+		mapped.Meta().Set(headerRetryAfter, strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	return mapped
+}
+
+func codeOf(failure *carobthread.RequestError) connect.Code {
+	switch failure.Reason {
+	case carobthread.ReasonUnknownService:
+		return connect.CodeNotFound
+	case carobthread.ReasonWrongKind, carobthread.ReasonMalformedKey, carobthread.ReasonPayloadMismatch:
+		return connect.CodeInvalidArgument
+	case carobthread.ReasonDeadlinePassed, carobthread.ReasonTimeout:
+		return connect.CodeDeadlineExceeded
+	case carobthread.ReasonTooLarge, carobthread.ReasonOverload, carobthread.ReasonKeyTableFull, carobthread.ReasonNoSlot:
+		return connect.CodeResourceExhausted
+	case carobthread.ReasonKeyExpired:
+		return connect.CodeFailedPrecondition
+	default:
+		return connect.CodeUnavailable
+	}
+}
+
+// RequestErrorOf returns the failure that an error of the caller API states; an error without a stated state may have run.
+func RequestErrorOf(err error) *carobthread.RequestError {
+	var failure *connect.Error
+	if !errors.As(err, &failure) {
+		return &carobthread.RequestError{State: carobthread.MayHaveRun, Reason: carobthread.ReasonConnectionLost, Detail: err.Error()}
+	}
+	state := carobthread.RunState(failure.Meta().Get(headerState))
+	if state == "" {
+		state = carobthread.MayHaveRun
+	}
+	return &carobthread.RequestError{
+		State:  state,
+		Reason: carobthread.Reason(failure.Meta().Get(headerReason)),
+		Detail: failure.Message(),
+	}
+}
--- /dev/null
+++ b/server/meter.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"carobthread"
+)
+
+// Meter counts what callers see; latencies are histograms in seconds.
+type Meter struct {
+	scope   tally.Scope
+	buckets tally.Buckets
+}
+
+// NewMeter returns a meter that reports to the scope.
+func NewMeter(scope tally.Scope) *Meter {
+	return &Meter{scope: scope, buckets: tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)}
+}
+
+// Answer counts one answer with its coverage and extra attempts.
+func (meter *Meter) Answer(service string, answer *carobthread.AnswerQuery, latency time.Duration) {
+	scope := meter.scope.Tagged(map[string]string{"service": service})
+	scope.Counter("answers").Inc(1)
+	scope.Counter("shards_answered").Inc(int64(answer.Coverage.Answered))
+	scope.Counter("shards_total").Inc(int64(answer.Coverage.Total))
+	scope.Counter("attempts").Inc(int64(answer.Attempts))
+	if answer.Coverage.Answered < answer.Coverage.Total {
+		scope.Counter("partial_answers").Inc(1)
+	}
+	scope.Histogram("latency_seconds", meter.buckets).RecordDuration(latency)
+}
+
+// Refusal counts one refusal by reason.
+func (meter *Meter) Refusal(service string, reason carobthread.Reason) {
+	meter.scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("refusals").Inc(1)
+}
