Export spans, carry trace context, add carobctl query and status

Cause: hops could not be followed and operators had no tool for one query.

Change: package tracer exports spans to a file or an OTLP endpoint and carries the W3C context; `carobctl query` and `carobctl status` talk to one host.

Before: spans were recorded nowhere. After: formatter, linter and tests pass; the status endpoint itself is not served yet.

Conclusion: the daemon can be wired once its settings can be read.

--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -13,5 +13,7 @@
 func commands() []command {
 	return []command{
 		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
+		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
+		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -22,6 +22,7 @@
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
 	"carobthread/server"
 	"carobthread/timer"
+	"carobthread/tracer"
 )
 
 const (
@@ -110,7 +111,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	host.caller = &http.Server{
-		Handler:           mux,
+		Handler:           tracer.Handler(mux),
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
--- a/server/client.go
+++ b/server/client.go
@@ -11,6 +11,7 @@
 	"carobthread"
 	"carobthread/rpc/carobthreadv1"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
+	"carobthread/tracer"
 )
 
 // Client sends repeatable requests to searchers over one shared transport.
@@ -33,7 +34,9 @@
 
 // SearchShard sends one attempt; a failure is a *RequestError.
 func (client *Client) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
-	response, err := client.client(searcher).SearchShard(ctx, connect.NewRequest(request))
+	call := connect.NewRequest(request)
+	tracer.InjectHeader(ctx, call.Header())
+	response, err := client.client(searcher).SearchShard(ctx, call)
 	if err != nil {
 		return nil, failureOf(request.GetService(), err)
 	}
