--- /dev/null
+++ b/server/throughput_test.go
@@ -0,0 +1,169 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"carobthread"
+	"carobthread/gatherer"
+	"carobthread/rpc/carobthreadv1"
+	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
+	"carobthread/server"
+	"carobthread/timer"
+)
+
+const (
+	benchFanOut      = 30
+	benchCallers     = 16
+	benchConnections = 16
+	// benchSlots lets every caller reach every searcher at once, as the bare fan-out does.
+	benchSlots = 64
+)
+
+// echoSearcher answers at once, so that only the cost of the fan-out is measured.
+type echoSearcher struct {
+	carobthreadv1connect.UnimplementedSearcherServiceHandler
+}
+
+func (*echoSearcher) SearchShard(_ context.Context, request *connect.Request[carobthreadv1.SearchShardRequest]) (*connect.Response[carobthreadv1.SearchShardResponse], error) {
+	return connect.NewResponse(&carobthreadv1.SearchShardResponse{
+		Attempt:       request.Msg.GetAttempt(),
+		Shard:         request.Msg.GetShard(),
+		Snapshot:      1,
+		Layout:        request.Msg.GetLayout(),
+		Status:        carobthreadv1.ShardStatus_SHARD_STATUS_OK,
+		Hits:          []*carobthreadv1.Hit{{Id: "a", Score: 1}},
+		HeldSnapshots: []uint64{1},
+	}), nil
+}
+
+// bareFanOut calls every searcher for each query and merges nothing else.
+type bareFanOut struct {
+	carobthreadv1connect.UnimplementedQueryServiceHandler
+	clients []carobthreadv1connect.SearcherServiceClient
+}
+
+func (bare *bareFanOut) Search(ctx context.Context, request *connect.Request[carobthreadv1.SearchRequest]) (*connect.Response[carobthreadv1.SearchResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	replies := make([]*carobthreadv1.SearchShardResponse, len(bare.clients))
+	var calls sync.WaitGroup
+	for shard, client := range bare.clients {
+		calls.Go(func() {
+			reply, err := client.SearchShard(ctx, connect.NewRequest(&carobthreadv1.SearchShardRequest{Shard: uint32(shard), Query: request.Msg.GetQuery()}))
+			if err == nil {
+				replies[shard] = reply.Msg
+			}
+		})
+	}
+	calls.Wait()
+	response := &carobthreadv1.SearchResponse{Coverage: &carobthreadv1.Coverage{Total: uint32(len(replies))}}
+	for _, reply := range replies {
+		if reply != nil {
+			response.Hits = append(response.Hits, reply.GetHits()...)
+			response.Coverage.Answered++
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+func startQueryService(b *testing.B, handler carobthreadv1connect.QueryServiceHandler) carobthreadv1connect.QueryServiceClient {
+	b.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(handler))
+	front := httptest.NewServer(mux)
+	b.Cleanup(front.Close)
+	transport := &http.Transport{MaxIdleConnsPerHost: benchCallers}
+	b.Cleanup(transport.CloseIdleConnections)
+	return carobthreadv1connect.NewQueryServiceClient(&http.Client{Transport: transport}, front.URL)
+}
+
+func startEchoSearchers(b *testing.B) carobthread.Config {
+	b.Helper()
+	config := carobthread.Config{Services: []carobthread.Service{{
+		Name: "bench", Kind: carobthread.KindSearch, Preference: carobthread.CoverageFirst,
+		SoftDeadline: time.Second, HardDeadline: time.Second, CoverageFloor: 1, HedgeQuantile: 0.99, ExtraShare: 0.05, Layout: 1,
+	}}}
+	layout := carobthread.Layout{Service: "bench", Generation: 1}
+	for shard := range benchFanOut {
+		mux := http.NewServeMux()
+		mux.Handle(carobthreadv1connect.NewSearcherServiceHandler(&echoSearcher{}))
+		searcher := httptest.NewServer(mux)
+		b.Cleanup(searcher.Close)
+		name := fmt.Sprintf("searcher-%d", shard)
+		config.Searchers = append(config.Searchers, carobthread.Searcher{
+			Name: name, Address: searcher.Listener.Addr().String(), DataCentre: "one", Slots: benchSlots, Connections: benchConnections,
+		})
+		layout.Shards = append(layout.Shards, []string{name})
+	}
+	config.Layouts = []carobthread.Layout{layout}
+	return config
+}
+
+// queryRate sends queries from concurrent callers and returns queries per second of complete answers.
+func queryRate(b *testing.B, client carobthreadv1connect.QueryServiceClient, queries int) float64 {
+	b.Helper()
+	started := time.Now()
+	var callers sync.WaitGroup
+	for range benchCallers {
+		callers.Go(func() {
+			for range queries / benchCallers {
+				response, err := client.Search(context.Background(), connect.NewRequest(&carobthreadv1.SearchRequest{Service: "bench", Query: []byte("q")}))
+				if err != nil || response.Msg.GetCoverage().GetAnswered() != benchFanOut {
+					b.Errorf("incomplete answer: %v %v", response, err)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return float64(queries) / time.Since(started).Seconds()
+}
+
+// BenchmarkFanOut compares the queries per second of one entry host with a bare connect fan-out in one run.
+func BenchmarkFanOut(b *testing.B) {
+	config := startEchoSearchers(b)
+	bare := &bareFanOut{}
+	transport := &http.Transport{MaxIdleConnsPerHost: benchConnections, MaxConnsPerHost: benchConnections}
+	for _, searcher := range config.Searchers {
+		bare.clients = append(bare.clients, carobthreadv1connect.NewSearcherServiceClient(&http.Client{Transport: transport}, "http://"+searcher.Address))
+	}
+	clock := timer.New()
+	search := server.NewSearch(server.SearchOptions{
+		Host:     "entry",
+		Decider:  gatherer.New(1, gatherer.Options{}),
+		Timer:    clock,
+		Upstream: server.NewClient(benchConnections),
+		Tracer:   noop.NewTracerProvider().Tracer("bench"),
+		Meter:    server.NewMeter(tally.NoopScope),
+	})
+	search.Configure(config)
+	stop := clock.Subscribe(time.Millisecond, search)
+	defer stop()
+	tier := startQueryService(b, server.NewCallers(search))
+	plain := startQueryService(b, bare)
+	const round = 480
+	queryRate(b, plain, round)
+	queryRate(b, tier, round)
+	var plainRate, tierRate float64
+	rounds := 0
+	for b.Loop() {
+		plainRate += queryRate(b, plain, round)
+		tierRate += queryRate(b, tier, round)
+		rounds++
+	}
+	assert.Assert(b, rounds > 0)
+	b.ReportMetric(plainRate/float64(rounds), "bare-queries/s")
+	b.ReportMetric(tierRate/float64(rounds), "tier-queries/s")
+	b.ReportMetric(tierRate/plainRate, "ratio")
+}
