Test that crossed replies and bad input cannot mislead a caller

Cause: the shell that keeps replies until the core names them had no test.

Change: a fake upstream swaps replies between concurrent attempts; 50 concurrent queries must only see their own hits. Bad input over the wire must be refused as not run with its reason.

--- /dev/null
+++ b/server/search_test.go
@@ -0,0 +1,132 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"carobthread"
+	"carobthread/gatherer"
+	"carobthread/rpc/carobthreadv1"
+	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
+	"carobthread/server"
+	"carobthread/timer"
+)
+
+const testShards = 8
+
+// crossingUpstream swaps replies between concurrent attempts and doubles some of them.
+type crossingUpstream struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	parked *carobthreadv1.SearchShardResponse
+}
+
+var _ carobthread.Upstream = (*crossingUpstream)(nil)
+
+func (upstream *crossingUpstream) SearchShard(_ context.Context, _ carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
+	own := &carobthreadv1.SearchShardResponse{
+		Attempt: request.GetAttempt(), Shard: request.GetShard(), Snapshot: 7, Layout: request.GetLayout(),
+		Status:        carobthreadv1.ShardStatus_SHARD_STATUS_OK,
+		Hits:          []*carobthreadv1.Hit{{Id: fmt.Sprintf("%s/%d", request.GetQuery(), request.GetShard()), Score: 1}},
+		HeldSnapshots: []uint64{7},
+	}
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	crossed := upstream.parked
+	upstream.parked = own
+	if crossed != nil && upstream.random.IntN(4) == 0 {
+		return crossed, nil
+	}
+	return own, nil
+}
+
+func (*crossingUpstream) Report(context.Context, carobthread.Searcher) (*carobthreadv1.ReportResponse, error) {
+	return &carobthreadv1.ReportResponse{Healthy: true, HeldSnapshots: []uint64{7}}, nil
+}
+
+func startSearch(t *testing.T, upstream carobthread.Upstream) *server.Search {
+	t.Helper()
+	config := carobthread.Config{
+		Services: []carobthread.Service{{
+			Name: "catalogue", Kind: carobthread.KindSearch, Preference: carobthread.CoverageFirst,
+			SoftDeadline: time.Second, HardDeadline: 2 * time.Second, CoverageFloor: 1, HedgeQuantile: 0.95, ExtraShare: 0.05,
+			MaxRequestSize: 64, Layout: 1,
+		}},
+		Layouts: []carobthread.Layout{{Service: "catalogue", Generation: 1}},
+	}
+	for shard := range testShards {
+		replicas := []string{}
+		for replica := range 3 {
+			name := fmt.Sprintf("s%d-%d", shard, replica)
+			replicas = append(replicas, name)
+			config.Searchers = append(config.Searchers, carobthread.Searcher{Name: name, Address: "127.0.0.1:1", DataCentre: "one", Slots: 64, Connections: 64})
+		}
+		config.Layouts[0].Shards = append(config.Layouts[0].Shards, replicas)
+	}
+	clock := timer.New()
+	search := server.NewSearch(server.SearchOptions{
+		Host: "entry", Decider: gatherer.New(1, gatherer.Options{}), Timer: clock, Upstream: upstream,
+		Tracer: noop.NewTracerProvider().Tracer("test"), Meter: server.NewMeter(tally.NoopScope),
+	})
+	search.Configure(config)
+	t.Cleanup(clock.Subscribe(time.Millisecond, search))
+	return search
+}
+
+// Guards against a crossed or doubled reply that reaches another caller's answer.
+func TestCrossedRepliesNeverReachAnotherQuery(t *testing.T) {
+	search := startSearch(t, &crossingUpstream{random: rand.New(rand.NewPCG(1, 2))})
+	var callers sync.WaitGroup
+	for caller := range 50 {
+		callers.Go(func() {
+			query := fmt.Sprintf("query-%d", caller)
+			response, err := search.Search(context.Background(), connect.NewRequest(&carobthreadv1.SearchRequest{Service: "catalogue", Query: []byte(query), Limit: testShards}))
+			if err != nil {
+				return
+			}
+			assert.Check(t, int(response.Msg.GetCoverage().GetAnswered()) == len(response.Msg.GetHits()))
+			for _, hit := range response.Msg.GetHits() {
+				assert.Check(t, strings.HasPrefix(hit.GetId(), query+"/"), "%s got %s", query, hit.GetId())
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// Guards against bad input that is answered late, unclearly or as if it had run.
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	search := startSearch(t, &crossingUpstream{random: rand.New(rand.NewPCG(1, 2))})
+	mux := http.NewServeMux()
+	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(server.NewCallers(search)))
+	front := httptest.NewServer(mux)
+	defer front.Close()
+	client := carobthreadv1connect.NewQueryServiceClient(front.Client(), front.URL)
+	cases := []struct {
+		request *carobthreadv1.SearchRequest
+		code    connect.Code
+		reason  carobthread.Reason
+	}{
+		{&carobthreadv1.SearchRequest{Service: "nowhere"}, connect.CodeNotFound, carobthread.ReasonUnknownService},
+		{&carobthreadv1.SearchRequest{Service: "catalogue", DeadlineUs: 1}, connect.CodeDeadlineExceeded, carobthread.ReasonDeadlinePassed},
+		{&carobthreadv1.SearchRequest{Service: "catalogue", Query: make([]byte, 65)}, connect.CodeResourceExhausted, carobthread.ReasonTooLarge},
+	}
+	for _, bad := range cases {
+		_, err := client.Search(context.Background(), connect.NewRequest(bad.request))
+		failure := server.RequestErrorOf(err)
+		assert.Equal(t, connect.CodeOf(err), bad.code)
+		assert.Equal(t, failure.State, carobthread.NotRun)
+		assert.Equal(t, failure.Reason, bad.reason)
+	}
+}
