Add the daemon: settings, listeners, graceful stop

Cause: the path ran only inside the demonstration.

Change: carobthreadd reads its settings (all findings at once, exit 2), logs JSON lines and stops on SIGTERM: not ready, grace period, servers finish, attempts end; a second signal or the limit ends it and names the number of cut queries. runner is split into assembly, listeners and stop.

Before: one process with constants.

Conclusion: the daemon waits for its configuration from the platform.

--- /dev/null
+++ b/cmd/carobthreadd/main.go
@@ -0,0 +1,83 @@
+// Command carobthreadd is the daemon of one entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"carobthread/parser"
+	"carobthread/runner"
+)
+
+// Exit statuses of the daemon.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2 // bad usage or bad settings
+)
+
+type arguments struct {
+	Settings string `long:"settings" required:"true" description:"INI file with the settings of this host"`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var given arguments
+	if _, err := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+		var flagError *flags.Error
+		if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return exitDone
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	content, err := os.ReadFile(given.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	settings, findings := parser.Settings(given.Settings, content)
+	if len(findings) > 0 {
+		fmt.Fprintln(os.Stderr, findings)
+		return exitUsage
+	}
+	level, _ := zerolog.ParseLevel(settings.Log.Level)
+	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
+	return serve(runner.Options{Settings: settings, Logger: logger, Seed: rand.Uint64()})
+}
+
+// serve runs the host until the first signal asks for a stop; a second signal aborts the stop.
+func serve(options runner.Options) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	abort := make(chan struct{})
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		close(abort)
+	}()
+	host, err := runner.New(ctx, options)
+	if err == nil {
+		err = host.Run(ctx, abort)
+	}
+	if err != nil {
+		options.Logger.Error().Err(err).Msg("ended with an error")
+		return exitFailed
+	}
+	return exitDone
+}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"carobthread"
 	"carobthread/internal/standin"
+	"carobthread/parser"
 	"carobthread/rpc/carobthreadv1"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
 	"carobthread/runner"
@@ -31,6 +33,7 @@
 	newSnapshot    = 42
 	matching       = "sitter-matching"
 	queriesPerStep = 20
+	freePort       = "127.0.0.1:0"
 )
 
 // Result is one step of the demonstration; latencies are in milliseconds.
@@ -68,16 +71,18 @@
 	demo.cancel = cancel
 	centres := []string{"kochi", "kochi", "kollam", "thiruvananthapuram"}
 	for index := range hosts {
-		host, err := runner.New(runner.Options{
+		settings := parser.DefaultSettings()
+		settings.Host = carobthread.HostSettings{
 			Name:            fmt.Sprintf("entry-%d", index+1),
 			DataCentre:      centres[index],
-			CallerAddress:   "127.0.0.1:0",
-			OperatorAddress: "127.0.0.1:0",
-			Seed:            uint64(index),
-			Logger:          zerolog.Nop(),
-		})
+			CallerAddress:   freePort,
+			PeerAddress:     freePort,
+			OperatorAddress: freePort,
+		}
+		settings.Stop.Grace = 0
+		host, err := runner.New(ctx, runner.Options{Settings: settings, Logger: zerolog.Nop(), Seed: uint64(index)})
 		if err != nil {
-			return nil, err
+			return nil, errors.Join(err, demo.Close())
 		}
 		demo.startHost(ctx, host, config)
 	}
@@ -87,7 +92,7 @@
 func (demo *Demonstrator) startHost(ctx context.Context, host *runner.Runner, config carobthread.Config) {
 	host.Configure(config)
 	stopped := make(chan error, 1)
-	go func() { stopped <- host.Run(ctx) }()
+	go func() { stopped <- host.Run(ctx, nil) }()
 	demo.hosts = append(demo.hosts, host)
 	demo.stopped = append(demo.stopped, stopped)
 	client := carobthreadv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+host.CallerAddress())
--- /dev/null
+++ b/runner/stop.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// errAborted ends a graceful stop early.
+var errAborted = errors.New("aborted by a second signal")
+
+// stop ends the host in this order: it is not ready, the balancer gets its grace period in which work is still
+// accepted, the servers finish what they have accepted, and the attempts end.
+func (host *Runner) stop(background context.Context, abort <-chan struct{}) error {
+	ctx, cancel := context.WithTimeoutCause(background, host.settings.Stop.Limit, errors.New("stop limit reached"))
+	defer cancel()
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	go func() {
+		select {
+		case <-abort:
+			interrupt(errAborted)
+		case <-ctx.Done():
+		}
+	}()
+	host.stopping.Store(true)
+	host.logger.Info().Dur("grace", host.settings.Stop.Grace).Msg("stopping, not ready")
+	pause(ctx, host.settings.Stop.Grace)
+	err := host.listeners.callerServer.Shutdown(ctx)
+	err = errors.Join(err, host.search.Wait(ctx))
+	err = errors.Join(err, host.listeners.operatorServer.Shutdown(ctx))
+	if err != nil {
+		err = fmt.Errorf("stop was cut short (%w), %d queries cut: %w", context.Cause(ctx), host.search.Pending(), err)
+	}
+	host.logger.Info().Err(err).Msg("stopped")
+	return err
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	wait := time.NewTimer(span)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
--- a/server/search.go
+++ b/server/search.go
@@ -410,3 +410,10 @@
 		return errors.Join(errors.New("attempts were still running"), ctx.Err())
 	}
 }
+
+// Pending returns the number of queries whose callers wait.
+func (search *Search) Pending() int {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return len(search.pending)
+}
--- a/server/throughput_test.go
+++ b/server/throughput_test.go
@@ -28,6 +28,8 @@
 	benchConnections = 16
 	// benchSlots lets every caller reach every searcher at once, as the bare fan-out does.
 	benchSlots = 64
+	// benchRound is the number of queries of one round.
+	benchRound = 480
 )
 
 // echoSearcher answers at once, so that only the cost of the fan-out is measured.
@@ -111,13 +113,13 @@
 }
 
 // queryRate sends queries from concurrent callers and returns queries per second of complete answers.
-func queryRate(b *testing.B, client carobthreadv1connect.QueryServiceClient, queries int) float64 {
+func queryRate(b *testing.B, client carobthreadv1connect.QueryServiceClient) float64 {
 	b.Helper()
 	started := time.Now()
 	var callers sync.WaitGroup
 	for range benchCallers {
 		callers.Go(func() {
-			for range queries / benchCallers {
+			for range benchRound / benchCallers {
 				response, err := client.Search(context.Background(), connect.NewRequest(&carobthreadv1.SearchRequest{Service: "bench", Query: []byte("q")}))
 				if err != nil || response.Msg.GetCoverage().GetAnswered() != benchFanOut {
 					b.Errorf("incomplete answer: %v %v", response, err)
@@ -127,7 +129,7 @@
 		})
 	}
 	callers.Wait()
-	return float64(queries) / time.Since(started).Seconds()
+	return float64(benchRound) / time.Since(started).Seconds()
 }
 
 // BenchmarkFanOut compares the queries per second of one entry host with a bare connect fan-out in one run.
@@ -152,14 +154,13 @@
 	defer stop()
 	tier := startQueryService(b, server.NewCallers(search))
 	plain := startQueryService(b, bare)
-	const round = 480
-	queryRate(b, plain, round)
-	queryRate(b, tier, round)
+	queryRate(b, plain)
+	queryRate(b, tier)
 	var plainRate, tierRate float64
 	rounds := 0
 	for b.Loop() {
-		plainRate += queryRate(b, plain, round)
-		tierRate += queryRate(b, tier, round)
+		plainRate += queryRate(b, plain)
+		tierRate += queryRate(b, tier)
 		rounds++
 	}
 	assert.Assert(b, rounds > 0)
