--- /dev/null
+++ b/gatherer/choice.go
@@ -0,0 +1,233 @@
+package gatherer
+
+import (
+	"slices"
+	"time"
+
+	"carobthread"
+)
+
+// class ranks the replicas of a shard for one attempt; a lower one is preferred.
+type class uint8
+
+const (
+	classLocal class = iota
+	classRemote
+	// classAvoided would be ejected but for the cap.
+	classAvoided
+	// classSaturated has no free slot; the attempt waits rather than going to an ejected replica.
+	classSaturated
+	// classEjected is the last resort when every other replica is gone.
+	classEjected
+	classTried
+	classLacksSnapshot
+	classLacksLayout
+	classGone
+)
+
+const (
+	// reportAge is how long a searcher's reported health and load break ties.
+	reportAge = time.Second
+	// heldAge is how long a list of held snapshots rules a replica out.
+	heldAge = 5 * time.Second
+	// latencyAge is how long a replica's latency estimate counts.
+	latencyAge = 5 * time.Second
+	// costTie is the ratio of costs within which two replicas count as equal.
+	costTie = 1.1
+)
+
+// choose returns the index of the replica for the next attempt at a shard and classLocal to classEjected, or -1 and the class of the best replica that cannot be used.
+func (gatherer *Gatherer) choose(query *queryRow, shard uint32) (int, class) {
+	row := &query.current.layout.shards[shard]
+	if !gatherer.inForce() {
+		return gatherer.chooseBaseline(row)
+	}
+	best, count := classGone, 0
+	gatherer.classes = gatherer.classes[:0]
+	for i := range row.replicas {
+		found := gatherer.classify(query, shard, i)
+		gatherer.classes = append(gatherer.classes, found)
+		if found < best {
+			best, count = found, 0
+		}
+		if found == best {
+			count++
+		}
+	}
+	if best > classEjected || best == classSaturated {
+		return -1, best
+	}
+	if count == 1 {
+		return slices.Index(gatherer.classes, best), best
+	}
+	first := gatherer.random.IntN(count)
+	second := gatherer.random.IntN(count - 1)
+	if second >= first {
+		second++
+	}
+	return gatherer.cheaper(row, gatherer.nth(best, first), gatherer.nth(best, second)), best
+}
+
+// nth returns the index of the replica that is the nth of its class.
+func (gatherer *Gatherer) nth(wanted class, n int) int {
+	for i, found := range gatherer.classes {
+		if found != wanted {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return -1
+}
+
+func (gatherer *Gatherer) classify(query *queryRow, shard uint32, index int) class {
+	replica := &query.current.layout.shards[shard].replicas[index]
+	searcher := replica.row.searcher
+	switch {
+	case !searcher.usable():
+		return classGone
+	case gatherer.now < replica.lacksUntil:
+		return classLacksLayout
+	case query.current.bound && gatherer.lacksSnapshot(searcher, query.current.snapshot):
+		return classLacksSnapshot
+	case query.current.shards[shard].tried&replicaBit(index) != 0:
+		return classTried
+	case !replica.row.free():
+		return classSaturated
+	case searcher.ejection.Ejected(gatherer.now):
+		return classEjected
+	case searcher.ejection.Avoided(gatherer.now):
+		return classAvoided
+	case searcher.local:
+		return classLocal
+	}
+	return classRemote
+}
+
+// replicaBit returns the bit of a replica in the tried set; replicas past the 63rd share one.
+func replicaBit(index int) uint64 { return 1 << min(index, 63) }
+
+// free reports whether one more attempt may be sent; a searcher of several services keeps a slot for each other one.
+func (replica *replicaRow) free() bool {
+	searcher := replica.searcher
+	if !searcher.limit.Free() {
+		return false
+	}
+	return searcher.users <= 1 || replica.inFlight < max(1, searcher.limit.Limit()-searcher.users+1)
+}
+
+// lacksSnapshot reports whether the searcher is known not to hold the snapshot.
+func (gatherer *Gatherer) lacksSnapshot(searcher *searcherRow, snapshot uint64) bool {
+	if gatherer.now < searcher.lacksUntil && searcher.lacks == snapshot {
+		return true
+	}
+	return gatherer.heldKnown(searcher) && !slices.Contains(searcher.held, snapshot)
+}
+
+// heldKnown reports whether the held snapshots were stated recently and after the last pause.
+func (gatherer *Gatherer) heldKnown(searcher *searcherRow) bool {
+	if !gatherer.inForce() {
+		return true
+	}
+	return searcher.heldAt != 0 && searcher.heldAt >= gatherer.resumedAt && gatherer.now.Sub(searcher.heldAt) < heldAge
+}
+
+// cheaper returns the replica with the lower expected wait; recent reports decide only between nearly equal ones.
+func (gatherer *Gatherer) cheaper(row *shardRow, first, second int) int {
+	one := row.replicas[first].row
+	other := row.replicas[second].row
+	oneCost := gatherer.cost(one)
+	otherCost := gatherer.cost(other)
+	switch {
+	case oneCost*costTie < otherCost:
+		return first
+	case otherCost*costTie < oneCost:
+		return second
+	case gatherer.reportedWorse(one.searcher, other.searcher):
+		return second
+	case gatherer.reportedWorse(other.searcher, one.searcher):
+		return first
+	case otherCost < oneCost:
+		return second
+	}
+	return first
+}
+
+// cost is the latency estimate multiplied by the load relative to the limit.
+func (gatherer *Gatherer) cost(replica *replicaRow) float64 {
+	latency := replica.latency
+	if replica.seenAt < gatherer.resumedAt || replica.seenAt == 0 || gatherer.now.Sub(replica.seenAt) > latencyAge {
+		latency = float64(max(time.Millisecond, replica.service.latency.median))
+	}
+	limit := &replica.searcher.limit
+	return latency * float64(limit.Running()+1) / float64(limit.Limit())
+}
+
+// reportedWorse reports whether recent reports say that the first searcher is worse off than the second.
+func (gatherer *Gatherer) reportedWorse(one, other *searcherRow) bool {
+	if !gatherer.reportKnown(one) || !gatherer.reportKnown(other) {
+		return false
+	}
+	if one.healthy != other.healthy {
+		return other.healthy
+	}
+	return one.load > other.load
+}
+
+func (gatherer *Gatherer) reportKnown(searcher *searcherRow) bool {
+	return searcher.reportAt != 0 && searcher.reportAt >= gatherer.resumedAt && gatherer.now.Sub(searcher.reportAt) < reportAge
+}
+
+// chooseBaseline takes any configured replica at random, or the less loaded of two random ones with a free slot.
+func (gatherer *Gatherer) chooseBaseline(row *shardRow) (int, class) {
+	gatherer.classes = gatherer.classes[:0]
+	count := 0
+	for i := range row.replicas {
+		found := gatherer.classifyBaseline(row.replicas[i].row.searcher)
+		gatherer.classes = append(gatherer.classes, found)
+		if found == classLocal {
+			count++
+		}
+	}
+	if count == 0 {
+		return -1, classGone
+	}
+	first := gatherer.nth(classLocal, gatherer.random.IntN(count))
+	if gatherer.options.RandomReplica {
+		return first, classLocal
+	}
+	second := gatherer.nth(classLocal, gatherer.random.IntN(count))
+	if row.replicas[second].row.searcher.limit.Running() < row.replicas[first].row.searcher.limit.Running() {
+		return second, classLocal
+	}
+	return first, classLocal
+}
+
+func (gatherer *Gatherer) classifyBaseline(searcher *searcherRow) class {
+	if gatherer.options.RandomReplica {
+		if searcher.known && !searcher.config.Leaving {
+			return classLocal
+		}
+		return classGone
+	}
+	if !searcher.usable() || searcher.limit.Running() >= searcher.limit.Slots() {
+		return classGone
+	}
+	return classLocal
+}
+
+// reasonOf states why no replica of a class can be used.
+func reasonOf(found class) carobthread.Reason {
+	switch found {
+	case classSaturated:
+		return carobthread.ReasonNoSlot
+	case classLacksSnapshot:
+		return carobthread.ReasonSnapshotMissing
+	case classLacksLayout:
+		return carobthread.ReasonLayoutMissing
+	default:
+		return carobthread.ReasonNoReplica
+	}
+}
--- /dev/null
+++ b/gatherer/deadline.go
@@ -0,0 +1,144 @@
+package gatherer
+
+import (
+	"container/heap"
+	"time"
+
+	"carobthread"
+)
+
+// pauseThreshold is the lateness of a tick that counts as a pause of the process rather than as a busy scheduler.
+const pauseThreshold = 200 * time.Millisecond
+
+// timerHeap orders the queries in progress by the time at which they need attention next.
+type timerHeap []*queryRow
+
+var _ heap.Interface = (*timerHeap)(nil)
+
+func (timers timerHeap) Len() int { return len(timers) }
+
+func (timers timerHeap) Less(i, j int) bool {
+	if timers[i].due != timers[j].due {
+		return timers[i].due < timers[j].due
+	}
+	return timers[i].sequence < timers[j].sequence
+}
+
+func (timers timerHeap) Swap(i, j int) {
+	timers[i], timers[j] = timers[j], timers[i]
+	timers[i].position = i
+	timers[j].position = j
+}
+
+// Push appends a *queryRow for container/heap.
+func (timers *timerHeap) Push(item any) {
+	query := item.(*queryRow)
+	query.position = len(*timers)
+	*timers = append(*timers, query)
+}
+
+// Pop removes the last entry for container/heap.
+func (timers *timerHeap) Pop() any {
+	last := len(*timers) - 1
+	query := (*timers)[last]
+	(*timers)[last] = nil
+	*timers = (*timers)[:last]
+	query.position = -1
+	return query
+}
+
+// wake makes sure that the query gets attention at that time.
+func (gatherer *Gatherer) wake(query *queryRow, at carobthread.Instant) {
+	if at >= query.due {
+		return
+	}
+	query.due = at
+	if query.position >= 0 {
+		heap.Fix(&gatherer.timers, query.position)
+	}
+}
+
+// runTimers answers every query whose deadline has come before it hedges or retries for the others.
+func (gatherer *Gatherer) runTimers() {
+	if len(gatherer.timers) == 0 || gatherer.timers[0].due > gatherer.now {
+		return
+	}
+	due := gatherer.due[:0]
+	for len(gatherer.timers) > 0 && gatherer.timers[0].due <= gatherer.now {
+		query := heap.Pop(&gatherer.timers).(*queryRow)
+		if !gatherer.answerIfDue(query) {
+			due = append(due, query)
+		}
+	}
+	gatherer.due = due
+	for _, query := range due {
+		gatherer.advance(query)
+	}
+	clear(due)
+}
+
+// answerIfDue answers the query if its hard deadline has come, or its soft one with the floor met.
+func (gatherer *Gatherer) answerIfDue(query *queryRow) bool {
+	if gatherer.now >= query.deadline {
+		gatherer.answer(query)
+		return true
+	}
+	if gatherer.now < query.soft {
+		return false
+	}
+	if !query.service.floorMet(query.best()) {
+		return false
+	}
+	gatherer.answer(query)
+	return true
+}
+
+// advance hedges and retries the shards whose time has come and sets the query's next time.
+func (gatherer *Gatherer) advance(query *queryRow) {
+	for shard := 0; shard < len(query.current.shards); shard++ {
+		state := &query.current.shards[shard]
+		if state.checkAt != 0 && state.checkAt <= gatherer.now {
+			gatherer.check(query, uint32(shard))
+		}
+	}
+	query.due = query.deadline
+	if query.soft > gatherer.now {
+		query.due = min(query.due, query.soft)
+	}
+	for shard := range query.current.shards {
+		if at := query.current.shards[shard].checkAt; at != 0 && at < query.due {
+			query.due = at
+		}
+	}
+	if !gatherer.finishIfDone(query) {
+		heap.Push(&gatherer.timers, query)
+	}
+}
+
+// check sends the hedge or retry that a shard is due.
+func (gatherer *Gatherer) check(query *queryRow, shard uint32) {
+	state := &query.current.shards[shard]
+	switch {
+	case state.flying == 0:
+		state.checkAt = 0
+		gatherer.recover(query, shard)
+	case gatherer.resumedAt == gatherer.now:
+		// Replies that came during the pause are still to be read.
+		state.checkAt = gatherer.now.Add(max(query.service.latency.hedge, pollInterval))
+	default:
+		gatherer.hedge(query, shard)
+	}
+}
+
+// resume treats everything observed before a pause as old.
+func (gatherer *Gatherer) resume() {
+	gatherer.resumedAt = gatherer.now
+	gatherer.stats.Pauses++
+	gatherer.planEpoch++
+	for _, searcher := range gatherer.searcherList {
+		searcher.ejection.Forget()
+	}
+	for _, service := range gatherer.serviceList {
+		service.latency.reset()
+	}
+}
--- /dev/null
+++ b/gatherer/query.go
@@ -0,0 +1,243 @@
+package gatherer
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"carobthread"
+)
+
+// arrive plans a query and sends the first attempts, or refuses it before any attempt is sent.
+func (gatherer *Gatherer) arrive(arrived *carobthread.QueryArrived) {
+	if gatherer.queries[arrived.Query] != nil {
+		gatherer.stats.DuplicateQueries++
+		return
+	}
+	service := gatherer.services[arrived.Service]
+	if reason := checkArrived(service, arrived); reason != "" {
+		gatherer.refuse(arrived, reason, 0)
+		return
+	}
+	deadline := gatherer.now.Add(service.config.HardDeadline)
+	if arrived.Deadline != 0 {
+		deadline = min(deadline, arrived.Deadline)
+	}
+	if deadline <= gatherer.now {
+		gatherer.refuse(arrived, carobthread.ReasonDeadlinePassed, 0)
+		return
+	}
+	plan := gatherer.planFor(service)
+	if plan.layout == nil {
+		gatherer.refuse(arrived, carobthread.ReasonNotReady, 0)
+		return
+	}
+	if gatherer.inForce() && !gatherer.admit(service, plan, arrived, deadline) {
+		return
+	}
+	gatherer.start(service, plan, arrived.Query, deadline)
+}
+
+func checkArrived(service *serviceRow, arrived *carobthread.QueryArrived) carobthread.Reason {
+	switch {
+	case service == nil || !service.known:
+		return carobthread.ReasonUnknownService
+	case service.config.Kind != carobthread.KindSearch:
+		return carobthread.ReasonWrongKind
+	case service.config.MaxRequestSize > 0 && arrived.Size > service.config.MaxRequestSize:
+		return carobthread.ReasonTooLarge
+	}
+	return ""
+}
+
+// admit refuses a query that cannot reach its coverage floor by its deadline, or that exceeds the service's limit.
+func (gatherer *Gatherer) admit(service *serviceRow, plan *target, arrived *carobthread.QueryArrived, deadline carobthread.Instant) bool {
+	left := deadline.Sub(gatherer.now)
+	if left < service.latency.fast {
+		gatherer.refuse(arrived, carobthread.ReasonDeadlineTooShort, 0)
+		return false
+	}
+	if service.waiting > 0 && gatherer.hopeless(service, plan, left) || !service.admission.Admit() {
+		gatherer.refuse(arrived, carobthread.ReasonOverload, service.admission.RetryAfter())
+		return false
+	}
+	return true
+}
+
+// hopeless reports whether so many shards have queues longer than the time left that the floor cannot be met.
+func (gatherer *Gatherer) hopeless(service *serviceRow, plan *target, left time.Duration) bool {
+	inTime := 0
+	for i := range plan.layout.shards {
+		row := &plan.layout.shards[i]
+		wait := time.Duration(len(row.waiting)) * service.latency.median / time.Duration(max(1, row.slots()))
+		if wait+service.latency.fast <= left {
+			inTime++
+		}
+	}
+	floor := math.Ceil(service.config.CoverageFloor * float64(len(plan.layout.shards)))
+	return float64(inTime) < max(1, floor)
+}
+
+// slots returns how many attempts the shard's usable replicas may have in flight together.
+func (row *shardRow) slots() int {
+	slots := 0
+	for i := range row.replicas {
+		if searcher := row.replicas[i].row.searcher; searcher.usable() {
+			slots += searcher.limit.Limit()
+		}
+	}
+	return slots
+}
+
+func (gatherer *Gatherer) start(service *serviceRow, plan *target, id carobthread.QueryID, deadline carobthread.Instant) {
+	query := gatherer.newQuery()
+	shards := query.current.shards[:0]
+	gatherer.nextQuery++
+	*query = queryRow{
+		id:       id,
+		sequence: gatherer.nextQuery,
+		service:  service,
+		current:  newCandidate(plan, shards),
+		arrived:  gatherer.now,
+		soft:     deadline,
+		deadline: deadline,
+		position: -1,
+	}
+	if service.latencyFirst() && !gatherer.options.RandomReplica {
+		query.soft = min(deadline, gatherer.now.Add(service.config.SoftDeadline))
+	}
+	query.due = query.soft
+	query.open = len(query.current.shards)
+	gatherer.queries[id] = query
+	gatherer.actions = make([]carobthread.Action, 0, query.open+1)
+	if cap(gatherer.sends)-len(gatherer.sends) < query.open {
+		gatherer.sends = make([]carobthread.SendAttempt, 0, max(sendChunk, query.open))
+	}
+	for shard := range query.current.shards {
+		gatherer.dispatch(query, uint32(shard), carobthread.AttemptFirst)
+	}
+	if !gatherer.finishIfDone(query) {
+		heap.Push(&gatherer.timers, query)
+	}
+}
+
+// best returns the better covered of the query's candidates, the current one on a tie.
+func (query *queryRow) best() *candidate {
+	if query.earlier != nil && query.earlier.better(&query.current) {
+		return query.earlier
+	}
+	return &query.current
+}
+
+// finishIfDone answers the query if nothing is left to wait for.
+func (gatherer *Gatherer) finishIfDone(query *queryRow) bool {
+	if query.open == 0 || query.earlier != nil && query.earlier.complete() {
+		gatherer.answer(query)
+		return true
+	}
+	return gatherer.answerIfDue(query)
+}
+
+// answer answers the query from its better covered candidate and ends its attempts.
+func (gatherer *Gatherer) answer(query *queryRow) {
+	chosen := query.best()
+	answer := &carobthread.AnswerQuery{
+		Query:             query.id,
+		Service:           query.service.config.Name,
+		Coverage:          carobthread.Coverage{Answered: uint32(chosen.answered), Total: uint32(len(chosen.shards))},
+		Snapshot:          chosen.snapshot,
+		Layout:            chosen.layout.generation,
+		SnapshotAgeMicros: chosen.age,
+		Merge:             make([]carobthread.AttemptID, 0, chosen.answered),
+		Attempts:          query.sent,
+	}
+	for shard := range chosen.shards {
+		state := &chosen.shards[shard]
+		if state.reply != 0 {
+			answer.Merge = append(answer.Merge, state.reply)
+			continue
+		}
+		answer.Coverage.Missing = append(answer.Coverage.Missing, carobthread.MissingShard{
+			Shard:  uint32(shard),
+			Reason: state.missingReason(),
+		})
+	}
+	gatherer.stats.Answers++
+	if chosen.complete() {
+		gatherer.stats.CompleteAnswers++
+	}
+	gatherer.finish(query)
+	gatherer.actions = append(gatherer.actions, carobthread.Action{Answer: answer})
+}
+
+// missingReason states why the shard is not part of an answer given now.
+func (state *shardState) missingReason() carobthread.Reason {
+	switch {
+	case state.flying > 0:
+		return carobthread.ReasonTimeout
+	case state.waiting:
+		return carobthread.ReasonNoSlot
+	case state.reason != "":
+		return state.reason
+	}
+	return carobthread.ReasonTimeout
+}
+
+// abandon ends a query that nobody waits for.
+func (gatherer *Gatherer) abandon(id carobthread.QueryID) {
+	query := gatherer.queries[id]
+	if query == nil {
+		return
+	}
+	gatherer.stats.CallersGone++
+	gatherer.finish(query)
+}
+
+// finish ends the query's attempts and removes it from the tables.
+func (gatherer *Gatherer) finish(query *queryRow) {
+	for shard := range query.current.shards {
+		state := &query.current.shards[shard]
+		if state.flying > 0 {
+			gatherer.cancelFlights(query, state)
+		}
+		if state.waiting {
+			gatherer.stopWaiting(query, uint32(shard))
+		}
+	}
+	if query.position >= 0 {
+		heap.Remove(&gatherer.timers, query.position)
+	}
+	delete(gatherer.queries, query.id)
+	query.current.layout.users--
+	if query.earlier != nil {
+		query.earlier.layout.users--
+	}
+	if gatherer.inForce() {
+		query.service.admission.Leave(gatherer.now.Sub(query.arrived))
+	}
+	shards := query.current.shards
+	clear(shards)
+	*query = queryRow{position: -1}
+	query.current.shards = shards[:0]
+	gatherer.freeQueries = append(gatherer.freeQueries, query)
+}
+
+func (gatherer *Gatherer) newQuery() *queryRow {
+	last := len(gatherer.freeQueries) - 1
+	if last < 0 {
+		return &queryRow{}
+	}
+	query := gatherer.freeQueries[last]
+	gatherer.freeQueries = gatherer.freeQueries[:last]
+	return query
+}
+
+func (gatherer *Gatherer) refuse(arrived *carobthread.QueryArrived, reason carobthread.Reason, retryAfter time.Duration) {
+	gatherer.stats.Refusals[reason]++
+	gatherer.actions = append(gatherer.actions, carobthread.Action{Refuse: &carobthread.RefuseQuery{
+		Query:            arrived.Query,
+		Service:          arrived.Service,
+		Reason:           reason,
+		RetryAfterMicros: retryAfter.Microseconds(),
+	}})
+}
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -1,62 +1,226 @@
 package gatherer
 
 import (
+	"slices"
+	"time"
+
 	"carobthread"
+	"carobthread/limiter"
+)
+
+const (
+	// maxFlights bounds the attempts in flight for one shard: with 120 shards and 1 reply in 100 slow, one hedge alone leaves 1.2% of queries with two slow attempts.
+	maxFlights = 3
+	// maxAttempts bounds the attempts at one shard of one query.
+	maxAttempts = 6
+	// maxWaiting bounds the attempts that wait for a slot of one shard.
+	maxWaiting = 128
+	// maxMoves bounds the moves of one query, since each one repeats it whole.
+	maxMoves = 2
 )
 
-// shardState is one shard of one query.
+// shardState is one shard of one candidate answer.
 type shardState struct {
-	attempts []carobthread.AttemptID
-	reply    carobthread.AttemptID
-	reason   carobthread.Reason
-	sent     int
+	flights [maxFlights]*attemptRow
+	flying  uint8
+	sent    uint8
+	waiting bool
+	closed  bool
+	// tried has a bit for each replica that an attempt was sent to.
+	tried uint64
+	reply carobthread.AttemptID
+	// checkAt is when to hedge or retry, or 0.
+	checkAt carobthread.Instant
+	reason  carobthread.Reason
+}
+
+// candidate is one snapshot and layout that a query may be answered from, with the replies that belong to it.
+type candidate struct {
+	layout   *layoutRow
+	snapshot uint64
+	// bound is false until the first reply fixes the snapshot of a query that asked for the newest one.
+	bound    bool
+	shards   []shardState
+	answered int
+	age      int64
+}
+
+// matches reports whether a reply of that snapshot and layout belongs to the candidate.
+func (candidate *candidate) matches(snapshot uint64, generation uint32) bool {
+	return candidate.bound && candidate.snapshot == snapshot && candidate.layout.generation == generation
+}
+
+// better reports whether the candidate covers a greater share of its shards than the other.
+func (candidate *candidate) better(other *candidate) bool {
+	return candidate.answered*len(other.shards) > other.answered*len(candidate.shards)
+}
+
+// complete reports whether every shard has a reply.
+func (candidate *candidate) complete() bool { return candidate.answered == len(candidate.shards) }
+
+// accept counts the reply of a shard.
+func (candidate *candidate) accept(state *shardState, reply *carobthread.ReplyArrived) {
+	state.reply = reply.Attempt
+	state.checkAt = 0
+	candidate.answered++
+	candidate.age = max(candidate.age, reply.SnapshotAgeMicros)
 }
 
 // queryRow is one query in progress.
 type queryRow struct {
 	id       carobthread.QueryID
+	sequence uint64
 	service  *serviceRow
-	layout   *carobthread.Layout
-	snapshot uint64
+	current  candidate
+	// earlier holds replies of one other snapshot or layout; it has no attempts in flight.
+	earlier  *candidate
 	arrived  carobthread.Instant
 	soft     carobthread.Instant
 	deadline carobthread.Instant
-	shards   []shardState
-	answered int
-	sent     uint32
-	age      int64
+	// due is when the query needs attention next; position is its place in the timer heap or -1.
+	due      carobthread.Instant
+	position int
+	// open counts the shards of the current candidate that may still get a reply.
+	open    int
+	waiting int
+	moves   int
+	sent    uint32
 }
 
 // attemptRow is one attempt in flight.
 type attemptRow struct {
-	id       carobthread.AttemptID
-	query    carobthread.QueryID
-	shard    uint32
-	searcher *searcherRow
-	sentAt   carobthread.Instant
-	kind     carobthread.AttemptKind
+	id      carobthread.AttemptID
+	query   *queryRow
+	shard   uint32
+	index   int
+	replica *replicaRow
+	sentAt  carobthread.Instant
+	kind    carobthread.AttemptKind
+	// unbound is set if the attempt asked for the newest snapshot.
+	unbound bool
 }
 
-// searcherRow is what this host knows of one searcher.
+// searcherRow is what this host knows of one searcher; it outlives its configuration while attempts are in flight.
 type searcherRow struct {
 	config   carobthread.Searcher
+	known    bool
+	local    bool
+	freed    bool
+	limit    limiter.InFlight
+	ejection limiter.Ejection
+	share    limiter.Share
+	serves   []*shardRow
+	// users counts the services that have the searcher in a layout.
+	users int
+
+	draining  bool
+	drainedAt carobthread.Instant
+
+	held []uint64
+	// heldAt is when the held snapshots were last stated, statedAt when a reply stated them.
+	heldAt   carobthread.Instant
+	statedAt carobthread.Instant
+	// lacks is a snapshot that the searcher said it does not hold without listing those it holds.
+	lacks      uint64
+	lacksUntil carobthread.Instant
+
+	reportAt carobthread.Instant
+	healthy  bool
+	load     int
+}
+
+// usable reports whether new attempts may be sent at all.
+func (searcher *searcherRow) usable() bool {
+	return searcher.known && !searcher.draining && !searcher.config.Leaving
+}
+
+// replicaRow is one searcher as one service sees it, so that one service's attempts do not count against another's.
+type replicaRow struct {
+	service  *serviceRow
+	searcher *searcherRow
 	inFlight int
-	draining bool
-	held     []uint64
-	age      int64
+	// latency is a moving mean in nanoseconds, seenAt its last sample.
+	latency float64
+	seenAt  carobthread.Instant
+}
+
+// shardReplica is a replica in one layout.
+type shardReplica struct {
+	row *replicaRow
+	// lacksUntil is how long the searcher counts as not holding the layout.
+	lacksUntil carobthread.Instant
+}
+
+// shardRow is one shard of one layout with the attempts that wait for a slot.
+type shardRow struct {
+	replicas []shardReplica
+	waiting  []waiter
+	listed   bool
+}
+
+// layoutRow is one layout with its names resolved.
+type layoutRow struct {
+	generation uint32
+	shards     []shardRow
+	// users counts the candidates of queries in progress that refer to the layout.
+	users int
 }
 
 // serviceRow is one service with its layouts in force.
 type serviceRow struct {
-	config  carobthread.Service
-	layouts []carobthread.Layout
+	config    carobthread.Service
+	known     bool
+	layouts   []*layoutRow
+	replicas  map[string]*replicaRow
+	admission limiter.Admission
+	budget    limiter.Budget
+	latency   latencyWindow
+	// hedgeFrom is when hedging may start again after upstreams shed load.
+	hedgeFrom carobthread.Instant
+	waiting   int
+
+	plan      target
+	planEpoch uint64
+	planUntil carobthread.Instant
 }
 
-func (service *serviceRow) layout(generation uint32) *carobthread.Layout {
-	for i := range service.layouts {
-		if service.layouts[i].Generation == generation {
-			return &service.layouts[i]
+func (service *serviceRow) layout(generation uint32) *layoutRow {
+	for _, layout := range service.layouts {
+		if layout.generation == generation {
+			return layout
 		}
 	}
 	return nil
 }
+
+// floorMet reports whether the candidate covers the service's floor.
+func (service *serviceRow) floorMet(candidate *candidate) bool {
+	const rounding = 1e-9
+	return float64(candidate.answered) >= service.config.CoverageFloor*float64(len(candidate.shards))-rounding
+}
+
+// latencyFirst reports whether the service answers at the soft deadline.
+func (service *serviceRow) latencyFirst() bool {
+	return service.config.Preference == carobthread.LatencyFirst && service.config.SoftDeadline > 0
+}
+
+// observe adds a latency sample to the replica's estimate.
+func (replica *replicaRow) observe(now carobthread.Instant, latency time.Duration) {
+	const weight = 0.2
+	if replica.seenAt == 0 {
+		replica.latency = float64(latency)
+	} else {
+		replica.latency += weight * (float64(latency) - replica.latency)
+	}
+	replica.seenAt = now
+}
+
+// hold replaces the held snapshots and reports whether they differ.
+func (searcher *searcherRow) hold(now carobthread.Instant, held []uint64) bool {
+	searcher.heldAt = now
+	if slices.Equal(searcher.held, held) {
+		return false
+	}
+	searcher.held = slices.Clone(held)
+	return true
+}
