Export the query core's counts and map its new refusal

Cause: the core counts attempts, moves and ejections that no metric showed, and refuses deadlines that are too short with a new reason.

Change: Meter.Gauges reports each number of a stats struct; Search.Stats returns the core's; deadline-too-short maps to deadline_exceeded.

--- a/server/failure.go
+++ b/server/failure.go
@@ -33,7 +33,7 @@
 		return connect.CodeNotFound
 	case carobthread.ReasonWrongKind, carobthread.ReasonMalformedKey, carobthread.ReasonPayloadMismatch:
 		return connect.CodeInvalidArgument
-	case carobthread.ReasonDeadlinePassed, carobthread.ReasonTimeout:
+	case carobthread.ReasonDeadlinePassed, carobthread.ReasonDeadlineTooShort, carobthread.ReasonTimeout:
 		return connect.CodeDeadlineExceeded
 	case carobthread.ReasonTooLarge, carobthread.ReasonOverload, carobthread.ReasonKeyTableFull, carobthread.ReasonNoSlot:
 		return connect.CodeResourceExhausted
--- a/server/meter.go
+++ b/server/meter.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -36,3 +39,29 @@
 func (meter *Meter) Refusal(service string, reason carobthread.Reason) {
 	meter.scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("refusals").Inc(1)
 }
+
+// Gauges reports every number of a plain struct under its kebab-case JSON name; nested maps join their keys.
+func (meter *Meter) Gauges(part string, stats any) error {
+	content, err := json.Marshal(stats)
+	if err != nil {
+		return fmt.Errorf("encode stats of %s: %w", part, err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(content, &fields); err != nil {
+		return fmt.Errorf("decode stats of %s: %w", part, err)
+	}
+	meter.gauges(part, fields)
+	return nil
+}
+
+func (meter *Meter) gauges(prefix string, fields map[string]any) {
+	for key, value := range fields {
+		name := prefix + "_" + strings.ReplaceAll(key, "-", "_")
+		switch value := value.(type) {
+		case float64:
+			meter.scope.Gauge(name).Update(value)
+		case map[string]any:
+			meter.gauges(name, value)
+		}
+	}
+}
--- a/server/search.go
+++ b/server/search.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"carobthread"
+	"carobthread/gatherer"
 	"carobthread/rpc/carobthreadv1"
 )
 
@@ -417,3 +418,15 @@
 	defer search.mutex.Unlock()
 	return len(search.pending)
 }
+
+// Stats returns the counts of the core, or nil if it keeps none.
+func (search *Search) Stats() *gatherer.Stats {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	counted, able := search.options.Decider.(interface{ Stats() gatherer.Stats })
+	if !able {
+		return nil
+	}
+	stats := counted.Stats()
+	return &stats
+}
