--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -11,5 +11,9 @@
 
 // commands lists the subcommands; each one stands in a file of its own.
 func commands() []command {
-	return []command{}
+	return []command{
+		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
+		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
+		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
+	}
 }
