Add the platform's client and a stand-in of the platform

Cause: hosts read the configuration from a service that limits calls, may be out of service, and may serve old content; tests and the demonstration need that service without a third party's program.

Change: watcher.Watcher reads and watches values over HTTP. Names must start with a letter or digit, since a searcher named ".." would have changed the path of the platform's URL.

Before: no client of the platform. After: go test ./watcher passes, 20 times in a row and 3 times with the race detector.

Conclusion: readers and the operators' tool can use the platform. The rate bound is the client's own, as the library golang.org/x/time is not among the project's requirements.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -51,6 +51,7 @@
 	// waiting names the staged tickets of each object.
 	waiting   map[carobthread.ObjectID][]uint64
 	digest    digestTable
+	highest   uint64
 	config    *carobthread.Config
 	refusals  []Refusal
 	conflicts []Conflict
@@ -156,6 +157,12 @@
 	return 0
 }
 
+// Len returns the number of objects in force.
+func (applier *Applier) Len() int { return len(applier.held) }
+
+// Highest returns the highest ticket number in force, or 0.
+func (applier *Applier) Highest() uint64 { return applier.highest }
+
 // enforce puts one row into force.
 func (applier *Applier) enforce(arrived *row) {
 	id := arrived.object.ID
@@ -166,6 +173,7 @@
 	applier.lists.retain(arrived.object.Ticket, arrived.list)
 	applier.held[id] = arrived
 	applier.digest.add(id, arrived.hash)
+	applier.highest = max(applier.highest, arrived.object.Ticket)
 	applier.config = nil
 }
 
--- a/applier/view.go
+++ b/applier/view.go
@@ -45,6 +45,7 @@
 // Status returns the status data at the given time.
 func (applier *Applier) Status(now carobthread.Instant) Status {
 	status := Status{
+		Highest:     applier.highest,
 		Root:        applier.Root(),
 		Source:      applier.confirmed.Source,
 		Age:         -1,
@@ -58,7 +59,6 @@
 	for _, id := range applier.IDs() {
 		held := applier.held[id]
 		status.Objects = append(status.Objects, ObjectStatus{id, held.object.Ticket, held.source, held.at})
-		status.Highest = max(status.Highest, held.object.Ticket)
 	}
 	for _, number := range slices.Backward(applier.descending()) {
 		ticket := applier.staged[number]
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,286 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"carobthread"
+	"carobthread/parser"
+)
+
+// The stand-in platform keeps values with revisions that only rise, over all
+// keys. Faults change what readers see, never what operators have published:
+// an outage refuses calls, a freeze serves the values of the moment it began,
+// and a rollback serves the values as of an earlier revision, until Heal.
+
+// CallLimit is the platform's bound of calls per second over all readers.
+const CallLimit = 2000
+
+// errOutage is the cause of a call during an outage.
+var errOutage = errors.New("out of service")
+
+// PlatformOptions configure a stand-in platform.
+type PlatformOptions struct {
+	// Timer is the clock of latency and call limit.
+	Timer carobthread.Timer
+	// Latency is the time of each answer.
+	Latency time.Duration
+	// CallLimit bounds calls per second, default 2,000.
+	CallLimit int
+	// HostLag is how long the list of hosts lags behind SetHost and DropHost.
+	HostLag time.Duration
+}
+
+// Platform is a stand-in of the platform's configuration service.
+type Platform struct {
+	options PlatformOptions
+
+	mutex    sync.Mutex
+	revision uint64
+	// history holds every value of each key, oldest first.
+	history map[string][]carobthread.Value
+	// visible is the highest revision that readers see.
+	visible uint64
+	frozen  bool
+	outage  bool
+	// changed is closed and replaced when what readers see may have changed.
+	changed chan struct{}
+	calls   uint64
+	limited uint64
+	second  carobthread.Instant
+	inTurn  int
+	hosts   map[string]carobthread.Host
+}
+
+var _ carobthread.Platform = (*Platform)(nil)
+
+// NewPlatform returns a platform without values.
+func NewPlatform(options PlatformOptions) *Platform {
+	if options.CallLimit == 0 {
+		options.CallLimit = CallLimit
+	}
+	return &Platform{
+		options: options,
+		history: map[string][]carobthread.Value{},
+		changed: make(chan struct{}),
+		hosts:   map[string]carobthread.Host{},
+	}
+}
+
+// Read returns the value of a key as readers see it.
+func (platform *Platform) Read(ctx context.Context, key string) (carobthread.Value, error) {
+	if err := platform.enter(ctx, key); err != nil {
+		return carobthread.Value{}, err
+	}
+	value, _, err := platform.seen(key)
+	return value, err
+}
+
+// Watch waits until the revision of a key differs; the wait is one call.
+func (platform *Platform) Watch(ctx context.Context, key string, revision uint64) (carobthread.Value, error) {
+	if err := platform.enter(ctx, key); err != nil {
+		return carobthread.Value{}, err
+	}
+	for {
+		value, changed, err := platform.seen(key)
+		if err != nil && !isMissing(err) {
+			return value, err
+		}
+		if value.Revision != revision {
+			return value, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: ctx.Err()}
+		}
+	}
+}
+
+func isMissing(err error) bool {
+	var failure *carobthread.PlatformError
+	return errors.As(err, &failure) && failure.Missing
+}
+
+// enter counts a call, applies the call limit and waits for the latency.
+func (platform *Platform) enter(ctx context.Context, key string) error {
+	if !platform.admit() {
+		return &carobthread.PlatformError{Key: key, Limited: true}
+	}
+	if platform.options.Latency == 0 {
+		return nil
+	}
+	passed, cancel := after(platform.options.Timer, platform.options.Latency, func() {})
+	defer cancel()
+	select {
+	case <-passed:
+		return nil
+	case <-ctx.Done():
+		return &carobthread.PlatformError{Key: key, Cause: ctx.Err()}
+	}
+}
+
+// after runs a function once when the span has passed, then closes the channel; cancel must be called.
+func after(timer carobthread.Timer, span time.Duration, run func()) (passed <-chan struct{}, cancel func()) {
+	closing := make(chan struct{})
+	var once sync.Once
+	cancel = timer.Subscribe(span, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
+		once.Do(func() {
+			run()
+			close(closing)
+		})
+	}))
+	return closing, cancel
+}
+
+// admit counts a call and reports whether it is within the limit of its second.
+func (platform *Platform) admit() bool {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.calls++
+	now := platform.options.Timer.Now()
+	if now.Sub(platform.second) >= time.Second {
+		platform.second = now
+		platform.inTurn = 0
+	}
+	platform.inTurn++
+	if platform.inTurn > platform.options.CallLimit {
+		platform.limited++
+		return false
+	}
+	return true
+}
+
+// seen returns the value of a key that readers see and the channel that closes when it may change.
+func (platform *Platform) seen(key string) (carobthread.Value, <-chan struct{}, error) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	if platform.outage {
+		return carobthread.Value{}, platform.changed, &carobthread.PlatformError{Key: key, Cause: errOutage}
+	}
+	values := platform.history[key]
+	for i := len(values) - 1; i >= 0; i-- {
+		if values[i].Revision <= platform.visible {
+			value := values[i]
+			value.Content = slices.Clone(value.Content)
+			return value, platform.changed, nil
+		}
+	}
+	return carobthread.Value{Key: key}, platform.changed, &carobthread.PlatformError{Key: key, Missing: true}
+}
+
+// Calls returns the number of calls so far, refused ones included; a waiting watch is one call.
+func (platform *Platform) Calls() uint64 {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	return platform.calls
+}
+
+// Limited returns the number of calls refused by the call limit.
+func (platform *Platform) Limited() uint64 {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	return platform.limited
+}
+
+// Revision returns the revision of the newest value.
+func (platform *Platform) Revision() uint64 {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	return platform.revision
+}
+
+// SetOutage starts or ends an outage, in which every call fails.
+func (platform *Platform) SetOutage(outage bool) {
+	platform.change(func() { platform.outage = outage })
+}
+
+// Freeze makes readers see the present values until Heal, whatever is published.
+func (platform *Platform) Freeze() {
+	platform.change(func() { platform.frozen = true })
+}
+
+// RollBack makes readers see the values as of a revision until Heal.
+func (platform *Platform) RollBack(revision uint64) {
+	platform.change(func() {
+		platform.frozen = true
+		platform.visible = revision
+	})
+}
+
+// Heal ends outage, freeze and rollback.
+func (platform *Platform) Heal() {
+	platform.change(func() {
+		platform.outage = false
+		platform.frozen = false
+		platform.visible = platform.revision
+	})
+}
+
+// change applies a change and wakes the watches.
+func (platform *Platform) change(apply func()) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	apply()
+	close(platform.changed)
+	platform.changed = make(chan struct{})
+}
+
+// Put stores a value on the operators' side and returns its revision.
+func (platform *Platform) Put(key string, content []byte) (uint64, error) {
+	if len(content) > parser.MaxSize {
+		return 0, fmt.Errorf("put %s: value has %d bytes, the limit is %d", key, len(content), parser.MaxSize)
+	}
+	var revision uint64
+	platform.change(func() {
+		platform.revision++
+		revision = platform.revision
+		value := carobthread.Value{Key: key, Revision: revision, Content: slices.Clone(content)}
+		platform.history[key] = append(platform.history[key], value)
+		if !platform.frozen {
+			platform.visible = revision
+		}
+	})
+	return revision, nil
+}
+
+// Publish stores a ticket as the operators' tool does: its objects first and the index last.
+func (platform *Platform) Publish(ticket *carobthread.Ticket) error {
+	values := parser.Publish(ticket)
+	if err := platform.PublishPart(ticket, len(values)); err != nil {
+		return err
+	}
+	index := platform.index()
+	index.Revision++
+	for _, object := range ticket.Objects {
+		index.Numbers[object.ID] = max(index.Numbers[object.ID], ticket.Number)
+	}
+	_, err := platform.Put(parser.IndexKey, parser.EncodeIndex(&index))
+	return err
+}
+
+// PublishPart stores only the first objects of a ticket and no index, as an operators' tool that fails half-way.
+func (platform *Platform) PublishPart(ticket *carobthread.Ticket, objects int) error {
+	for _, value := range parser.Publish(ticket)[:objects] {
+		if _, err := platform.Put(value.Key, value.Content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// index returns the newest index on the operators' side; without one it is empty.
+func (platform *Platform) index() parser.Index {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	values := platform.history[parser.IndexKey]
+	if len(values) == 0 {
+		return parser.Index{Numbers: map[carobthread.ObjectID]uint64{}}
+	}
+	index, _ := parser.DecodeIndex(parser.IndexKey, values[len(values)-1].Content)
+	return index
+}
--- /dev/null
+++ b/internal/standin/platform_http.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"carobthread"
+	"carobthread/parser"
+	"carobthread/watcher"
+)
+
+// PlatformServer serves a stand-in platform over HTTP on loopback.
+type PlatformServer struct {
+	platform *Platform
+	server   *http.Server
+	address  string
+	// watchTime is how long a watch is held before it is answered with 304.
+	watchTime time.Duration
+}
+
+// ServePlatform serves a platform on an IP:PORT; port 0 takes a free one.
+func ServePlatform(platform *Platform, address string) (*PlatformServer, error) {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for the platform: %w", err)
+	}
+	serving := &PlatformServer{platform: platform, address: listener.Addr().String(), watchTime: watcher.WatchTime}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{key...}", serving.read)
+	mux.HandleFunc("GET /v1/watch/{key...}", serving.watch)
+	mux.HandleFunc("PUT /v1/values/{key...}", serving.put)
+	serving.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = serving.server.Serve(listener) }()
+	return serving, nil
+}
+
+// Address returns the server's IP address and port.
+func (serving *PlatformServer) Address() string { return serving.address }
+
+// Close ends the server at once and cuts its connections.
+func (serving *PlatformServer) Close() error { return serving.server.Close() }
+
+func (serving *PlatformServer) read(writer http.ResponseWriter, request *http.Request) {
+	value, err := serving.platform.Read(request.Context(), request.PathValue("key"))
+	answer(writer, value, err)
+}
+
+func (serving *PlatformServer) watch(writer http.ResponseWriter, request *http.Request) {
+	revision, err := parseRevision(request.URL.Query().Get("revision"))
+	if err != nil {
+		http.Error(writer, "malformed revision", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), serving.watchTime)
+	defer cancel()
+	value, err := serving.platform.Watch(ctx, request.PathValue("key"), revision)
+	if errors.Is(err, context.DeadlineExceeded) {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	answer(writer, value, err)
+}
+
+func (serving *PlatformServer) put(writer http.ResponseWriter, request *http.Request) {
+	content, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, parser.MaxSize))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	revision, err := serving.platform.Put(request.PathValue("key"), content)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	writer.Header().Set(watcher.RevisionHeader, strconv.FormatUint(revision, 10))
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+// answer writes a value or the status of a failure.
+func answer(writer http.ResponseWriter, value carobthread.Value, err error) {
+	var failure *carobthread.PlatformError
+	switch {
+	case err == nil:
+		writer.Header().Set(watcher.RevisionHeader, strconv.FormatUint(value.Revision, 10))
+		writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = writer.Write(value.Content)
+	case errors.As(err, &failure) && failure.Missing:
+		http.Error(writer, err.Error(), http.StatusNotFound)
+	case errors.As(err, &failure) && failure.Limited:
+		writer.Header().Set("Retry-After", "1")
+		http.Error(writer, err.Error(), http.StatusTooManyRequests)
+	default:
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// parseRevision reads the revision that a watch names; without one it is 0.
+func parseRevision(text string) (uint64, error) {
+	if strings.TrimSpace(text) == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
--- a/parser/field.go
+++ b/parser/field.go
@@ -87,8 +87,9 @@
 	if len(name) > maxNameLength {
 		return fmt.Errorf("name has %d bytes, the limit is %d", len(name), maxNameLength)
 	}
-	if name == "" || strings.ContainsFunc(name, func(char rune) bool { return !nameRune(char) }) {
-		return fmt.Errorf("malformed name %q, names have letters, digits, '-', '_' and '.'", name)
+	// A name that starts with a dot could be taken for a relative path in the platform's URLs.
+	if name == "" || strings.ContainsAny(name[:1], "-_.") || strings.ContainsFunc(name, func(char rune) bool { return !nameRune(char) }) {
+		return fmt.Errorf("malformed name %q, names have letters, digits, '-', '_' and '.' after a letter or digit", name)
 	}
 	return nil
 }
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,181 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"carobthread"
+)
+
+// RevisionHeader states the revision of a value in answers.
+const RevisionHeader = "Carobthread-Revision"
+
+// Bounds of calls to the platform.
+const (
+	// MaxValueSize is the platform's limit of a value in bytes; a longer answer is refused.
+	MaxValueSize = 1 << 20
+	// WatchTime is how long the platform holds a watch before it answers that nothing has changed.
+	WatchTime = 30 * time.Second
+
+	connectTimeout = time.Second
+	readTimeout    = 3 * time.Second
+	// watchSlack is the time that an answer to a watch may take beyond WatchTime.
+	watchSlack      = 3 * time.Second
+	idleTimeout     = time.Minute
+	maxHeaderSize   = 16 << 10
+	maxConnections  = 8
+	defaultRate     = 20
+	defaultBurst    = 20
+	maxRetryAfter   = time.Minute
+	firstBackoff    = 100 * time.Millisecond
+	greatestBackoff = 5 * time.Second
+)
+
+// Options configure a watcher; zero values take the defaults.
+type Options struct {
+	// Address is the platform's IP:PORT.
+	Address string
+	// Rate bounds calls per second, default 20; at 100 readers this is the service's whole limit.
+	Rate float64
+	// Burst is the number of calls that may be made at once after a quiet time, default 20.
+	Burst int
+}
+
+// Watcher reads and watches values over HTTP; it is safe for concurrent use.
+type Watcher struct {
+	base   url.URL
+	client *http.Client
+	pace   *pace
+}
+
+var _ carobthread.Platform = (*Watcher)(nil)
+
+// New returns a watcher; it makes no call before the first Read or Watch.
+func New(timer carobthread.Timer, options Options) *Watcher {
+	if options.Rate <= 0 {
+		options.Rate = defaultRate
+	}
+	if options.Burst <= 0 {
+		options.Burst = defaultBurst
+	}
+	transport := &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxConnsPerHost:        maxConnections,
+		MaxIdleConnsPerHost:    maxConnections,
+		MaxResponseHeaderBytes: maxHeaderSize,
+	}
+	return &Watcher{
+		base: url.URL{Scheme: "http", Host: options.Address},
+		client: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		pace: newPace(timer, options.Rate, options.Burst),
+	}
+}
+
+// Close closes idle connections.
+func (watcher *Watcher) Close() { watcher.client.CloseIdleConnections() }
+
+// Stats returns the counts of calls so far.
+func (watcher *Watcher) Stats() Stats { return watcher.pace.counts() }
+
+// Read returns the value of a key within 3 s of its turn; failures are *carobthread.PlatformError.
+func (watcher *Watcher) Read(ctx context.Context, key string) (carobthread.Value, error) {
+	target := watcher.base.JoinPath("v1", "values", key)
+	value, _, err := watcher.call(ctx, target, key, readTimeout)
+	return value, err
+}
+
+// Watch returns the value of a key once its revision differs; failures are *carobthread.PlatformError.
+func (watcher *Watcher) Watch(ctx context.Context, key string, revision uint64) (carobthread.Value, error) {
+	target := watcher.base.JoinPath("v1", "watch", key)
+	target.RawQuery = url.Values{"revision": {strconv.FormatUint(revision, 10)}}.Encode()
+	for {
+		value, changed, err := watcher.call(ctx, target, key, WatchTime+watchSlack)
+		if err != nil || changed && value.Revision != revision {
+			return value, err
+		}
+	}
+}
+
+// call makes one request when the pace allows it; the second result is false for an unchanged value.
+func (watcher *Watcher) call(ctx context.Context, target *url.URL, key string, timeout time.Duration) (carobthread.Value, bool, error) {
+	if err := watcher.pace.wait(ctx); err != nil {
+		return carobthread.Value{}, false, &carobthread.PlatformError{Key: key, Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	value, changed, retryAfter, err := watcher.request(ctx, target, key)
+	switch {
+	case err == nil || isMissing(err):
+		watcher.pace.succeeded()
+	case !errors.Is(err, context.Canceled):
+		watcher.pace.failed(retryAfter)
+	}
+	return value, changed, err
+}
+
+func isMissing(err error) bool {
+	var failure *carobthread.PlatformError
+	return errors.As(err, &failure) && failure.Missing
+}
+
+func (watcher *Watcher) request(ctx context.Context, target *url.URL, key string) (value carobthread.Value, changed bool, retryAfter time.Duration, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return value, false, 0, &carobthread.PlatformError{Key: key, Cause: err}
+	}
+	response, err := watcher.client.Do(request)
+	if err != nil {
+		return value, false, 0, &carobthread.PlatformError{Key: key, Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		value, err = readValue(key, response)
+		return value, err == nil, 0, err
+	case http.StatusNotModified:
+		return value, false, 0, nil
+	case http.StatusNotFound:
+		return value, false, 0, &carobthread.PlatformError{Key: key, Missing: true}
+	case http.StatusTooManyRequests:
+		return value, false, retryAfterOf(response), &carobthread.PlatformError{Key: key, Limited: true}
+	default:
+		cause := fmt.Errorf("answer %s", response.Status)
+		return value, false, retryAfterOf(response), &carobthread.PlatformError{Key: key, Cause: cause}
+	}
+}
+
+func readValue(key string, response *http.Response) (carobthread.Value, error) {
+	revision, err := strconv.ParseUint(response.Header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: fmt.Errorf("header %s: %w", RevisionHeader, err)}
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, MaxValueSize+1))
+	if err != nil {
+		return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: err}
+	}
+	if len(content) > MaxValueSize {
+		return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: fmt.Errorf("value exceeds %d bytes", MaxValueSize)}
+	}
+	return carobthread.Value{Key: key, Revision: revision, Content: content}, nil
+}
+
+// retryAfterOf reads the header Retry-After in seconds; a missing or odd one gives 0.
+func retryAfterOf(response *http.Response) time.Duration {
+	seconds, err := strconv.ParseUint(response.Header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
