Add carobctl check and submit

Cause: operators need to see every fault of a file before it is published, and a publication that fails half-way or meets another operator's must not leave a half-visible change.

Change: carobctl check reads settings and tickets, told apart by their sections, and reports all findings with status 2. The package publisher holds its logic: each write names the revision that it replaces, a repeated submission completes a half-published ticket, an older or repeated number changes nothing and says so with status 0, and a number that other content holds is refused with status 2. The stand-in platform takes PUT with If-Match.

Before: tickets could not be checked or published.

--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -12,8 +12,10 @@
 // commands lists the subcommands; each one stands in a file of its own.
 func commands() []command {
 	return []command{
+		{name: "check", short: "Check settings and tickets.", runner: &checkCommand{}},
 		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
+		{name: "submit", short: "Publish a ticket to the platform.", runner: &submitCommand{}},
 	}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -232,20 +232,35 @@
 
 // Put stores a value on the operators' side and returns its revision.
 func (platform *Platform) Put(key string, content []byte) (uint64, error) {
+	revision, _, err := platform.PutIf(key, content, func(uint64) bool { return true })
+	return revision, err
+}
+
+// PutIf stores a value if the key's present revision, 0 without a value, is accepted, and reports whether it was.
+func (platform *Platform) PutIf(key string, content []byte, accept func(present uint64) bool) (uint64, bool, error) {
 	if len(content) > parser.MaxSize {
-		return 0, fmt.Errorf("put %s: value has %d bytes, the limit is %d", key, len(content), parser.MaxSize)
+		return 0, false, fmt.Errorf("put %s: value has %d bytes, the limit is %d", key, len(content), parser.MaxSize)
 	}
-	var revision uint64
+	var stored carobthread.Value
+	accepted := false
 	platform.change(func() {
+		values := platform.history[key]
+		present := uint64(0)
+		if len(values) > 0 {
+			present = values[len(values)-1].Revision
+		}
+		accepted = accept(present)
+		if !accepted {
+			return
+		}
 		platform.revision++
-		revision = platform.revision
-		value := carobthread.Value{Key: key, Revision: revision, Content: slices.Clone(content)}
-		platform.history[key] = append(platform.history[key], value)
+		stored = carobthread.Value{Key: key, Revision: platform.revision, Content: slices.Clone(content)}
+		platform.history[key] = append(values, stored)
 		if !platform.frozen {
-			platform.visible = revision
+			platform.visible = platform.revision
 		}
 	})
-	return revision, nil
+	return stored.Revision, accepted, nil
 }
 
 // Publish stores a ticket as the operators' tool does: its objects first and the index last.
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -74,11 +74,19 @@
 		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	revision, err := serving.platform.Put(request.PathValue("key"), content)
+	accept := func(uint64) bool { return true }
+	if match := request.Header.Get("If-Match"); match != "" {
+		accept = func(present uint64) bool { return match == strconv.FormatUint(present, 10) }
+	}
+	revision, accepted, err := serving.platform.PutIf(request.PathValue("key"), content, accept)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
+	if !accepted {
+		http.Error(writer, "the value has another revision", http.StatusPreconditionFailed)
+		return
+	}
 	writer.Header().Set(watcher.RevisionHeader, strconv.FormatUint(revision, 10))
 	writer.WriteHeader(http.StatusNoContent)
 }
--- /dev/null
+++ b/parser/check.go
@@ -0,0 +1,32 @@
+package parser
+
+import (
+	"carobthread"
+)
+
+// Check returns the findings of several files in their order. Each is read as
+// a ticket or as settings according to its sections. A reference of a ticket
+// may be satisfied by any of the tickets; partial accepts the others as well.
+func Check(files []string, contents [][]byte, partial bool) carobthread.Findings {
+	defined := map[carobthread.ObjectID]bool{}
+	for i, content := range contents {
+		if !IsTicket(content) {
+			continue
+		}
+		ticket, _ := Ticket(files[i], content)
+		for _, object := range ticket.Objects {
+			defined[object.ID] = true
+		}
+	}
+	findings := carobthread.Findings{}
+	for i, content := range contents {
+		if IsTicket(content) {
+			_, found := TicketIn(files[i], content, func(id carobthread.ObjectID) bool { return partial || defined[id] })
+			findings = append(findings, found...)
+			continue
+		}
+		_, found := Settings(files[i], content)
+		findings = append(findings, found...)
+	}
+	return findings
+}
--- /dev/null
+++ b/publisher/publisher_test.go
@@ -0,0 +1,94 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"carobthread"
+	"carobthread/applier"
+	"carobthread/internal/standin"
+	"carobthread/parser"
+	"carobthread/publisher"
+	"carobthread/timer"
+)
+
+// flaky runs a hook before its nth write.
+type flaky struct {
+	publisher.Store
+	writes int
+	at     int
+	hook   func() error
+}
+
+func (store *flaky) Replace(ctx context.Context, key string, revision uint64, content []byte) error {
+	store.writes++
+	if store.writes == store.at {
+		if err := store.hook(); err != nil {
+			return err
+		}
+	}
+	return store.Store.Replace(ctx, key, revision, content)
+}
+
+// Guards against tickets that are published in part without a word, published twice, or that undo another operator's
+// work. After each step a host that reads the whole platform prints its state.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		platform := standin.NewPlatform(standin.PlatformOptions{Timer: timer.New()})
+		serving, err := standin.ServePlatform(platform, "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, serving.Close()) }()
+		client, err := publisher.NewClient(timer.New(), "http://"+serving.Address())
+		assert.NilError(t, err)
+		defer client.Close()
+		datadriven.RunTest(t, path, func(t *testing.T, step *datadriven.TestData) string {
+			t.Helper()
+			store := &flaky{Store: client}
+			step.MaybeScanArgs(t, "at", &store.at)
+			switch step.Cmd {
+			case "submit":
+			case "cut": // the tool ends before the write with this number
+				store.hook = func() error { return errors.New("cut") }
+			case "race": // another operator publishes searcher/other before the write with this number
+				store.hook = func() error {
+					other := carobthread.Searcher{Name: "other", Address: "127.0.0.1:1", DataCentre: "south", Slots: 1, Connections: 1}
+					objects := []carobthread.Object{{ID: "searcher/other", Searcher: &other}}
+					return platform.Publish(&carobthread.Ticket{Number: 100, Objects: objects})
+				}
+			default:
+				t.Fatalf("unknown command %q", step.Cmd)
+			}
+			result, err := publisher.Submit(t.Context(), store, "change.ini", []byte(step.Input))
+			return fmt.Sprintf("%+v %v\n%s", result, err, state(t, client))
+		})
+	})
+}
+
+func state(t *testing.T, client *publisher.Client) string {
+	t.Helper()
+	value, err := client.Read(t.Context(), parser.IndexKey)
+	if err != nil {
+		return "no index"
+	}
+	index, findings := parser.DecodeIndex(parser.IndexKey, value.Content)
+	assert.Equal(t, len(findings), 0)
+	host := applier.New(applier.Options{})
+	batch := &applier.Arrived{Source: "platform"}
+	for _, id := range host.Wanted(index) {
+		object, err := client.Read(t.Context(), parser.ObjectKey(id))
+		assert.NilError(t, err)
+		batch.Values = append(batch.Values, object.Content)
+	}
+	host.Step(applier.Event{Arrived: batch})
+	text := []string{fmt.Sprintf("covers %v:", host.Covers(index))}
+	for _, object := range host.Status(0).Objects {
+		text = append(text, fmt.Sprintf("%s=%d", object.ID, object.Ticket))
+	}
+	return strings.Join(text, " ")
+}
