Add the core of requests that may not be repeated

Cause: a booking or payment that is sent twice costs real money, and no host may rely on a shared store to prevent it.

Change: package executor mints keys that name one incarnation, records a key as used before its first attempt, joins repeated calls, forwards other hosts' keys and keeps outcomes in a bounded table until expiry. "Not run" is final: it revokes the key, and a full table revokes by sequence number. carobthread.ReasonKeyRevoked is new: an outcome query revoked the key.

Before: no execution path.

--- a/errors.go
+++ b/errors.go
@@ -29,6 +29,7 @@
 	ReasonKeyExpired      Reason = "key-expired"
 	ReasonPayloadMismatch Reason = "payload-mismatch"
 	ReasonKeyTableFull    Reason = "key-table-full"
+	ReasonKeyRevoked      Reason = "key-revoked"
 	ReasonOverload        Reason = "overload"
 	ReasonStopping        Reason = "stopping"
 	ReasonNotReady        Reason = "not-ready"
--- /dev/null
+++ b/executor/stats.go
@@ -0,0 +1,48 @@
+package executor
+
+// Stats counts events since the start; the last group states the present size.
+type Stats struct {
+	Reserved        uint64 `json:"reserved"`
+	Attempts        uint64 `json:"attempts"`
+	Retried         uint64 `json:"retried"`
+	PermitsRefused  uint64 `json:"permits-refused"`
+	Joined          uint64 `json:"joined"`
+	Repeated        uint64 `json:"repeated"`
+	Mismatched      uint64 `json:"mismatched"`
+	Revoked         uint64 `json:"revoked"`
+	Forwarded       uint64 `json:"forwarded"`
+	UnknownForwards uint64 `json:"unknown-forwards"`
+	Done            uint64 `json:"done"`
+	NotRun          uint64 `json:"not-run"`
+	Unknown         uint64 `json:"unknown"`
+	Dropped         uint64 `json:"dropped"`
+	Expired         uint64 `json:"expired"`
+
+	Keys     int  `json:"keys"`
+	Bytes    int  `json:"bytes"`
+	Running  int  `json:"running"`
+	Forwards int  `json:"forwards"`
+	Stopping bool `json:"stopping"`
+}
+
+// Stats returns the counters and the present sizes.
+func (executor *Executor) Stats() Stats {
+	stats := executor.stats
+	stats.Keys = len(executor.table.rows)
+	stats.Bytes = executor.table.bytes
+	stats.Running = len(executor.running)
+	stats.Forwards = len(executor.forwards)
+	stats.Stopping = executor.stopping
+	return stats
+}
+
+func (executor *Executor) count(status Status) {
+	switch status {
+	case StatusDone:
+		executor.stats.Done++
+	case StatusNotRun:
+		executor.stats.NotRun++
+	case StatusUnknown:
+		executor.stats.Unknown++
+	}
+}
