--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -15,5 +15,6 @@
 		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
+		{name: "explore", short: "Explore schedules of requests that may not be repeated.", runner: &exploreCommand{}},
 	}
 }
--- a/executor/key.go
+++ b/executor/key.go
@@ -3,9 +3,9 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -38,8 +38,13 @@
 }
 
 func (key Key) signed() string {
-	return fmt.Sprintf("%s:%016x:%016x:%016x:%016x", key.Host,
-		uint64(key.Incarnation.Start), key.Incarnation.Random, key.Sequence, uint64(key.Expiry))
+	text := make([]byte, 0, len(key.Host)+(keyFields-2)*(numberDigits+1))
+	text = append(text, key.Host...)
+	for _, number := range []uint64{uint64(key.Incarnation.Start), key.Incarnation.Random, key.Sequence, uint64(key.Expiry)} {
+		text = append(text, ':')
+		text = hex.AppendEncode(text, binary.BigEndian.AppendUint64(nil, number))
+	}
+	return string(text)
 }
 
 func (key Key) code(secret []byte) [codeBytes]byte {
