Add the client of the searcher API

Cause: net/http repeats requests on its own in several cases, and connect sets GetBody on every unary request, which permits it on HTTP/2.

A gate in front of the connection knows whether a byte was written and stops writes that are still under way when Run has returned. Pools are separate for each service and searcher.

Before: no send path for requests that may not be repeated.

--- /dev/null
+++ b/caller/pool.go
@@ -0,0 +1,217 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+)
+
+// connection is one connection of a pool; the pool's mutex guards its counts.
+type connection struct {
+	client    *http.ClientConn
+	raw       *gatedConn
+	http2     bool
+	inFlight  int
+	exclusive bool
+}
+
+func (conn *connection) close() { _ = conn.client.Close() } // the connection is given up either way
+
+// pool holds the connections to one searcher for one service.
+type pool struct {
+	address   string
+	transport *http.Transport
+	shared    bool // a connection carries several repeatable requests at once
+
+	mutex    sync.Mutex
+	limit    int
+	dialling int
+	conns    []*connection
+	changed  chan struct{} // closed and replaced when a connection may have become free
+	closed   bool
+}
+
+type rawKey struct{}
+
+// newTransport returns a transport that dials for one pool; it hands the raw connection to the dialling context.
+func newTransport(options Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: options.DialTimeout}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(!options.HTTP2)
+	protocols.SetUnencryptedHTTP2(options.HTTP2)
+	return &http.Transport{
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			raw := ctx.Value(rawKey{}).(*gatedConn)
+			raw.Conn = conn
+			return raw, nil
+		},
+	}
+}
+
+func newPool(address string, limit int, options Options) *pool {
+	return &pool{
+		address:   address,
+		transport: newTransport(options),
+		shared:    options.HTTP2,
+		limit:     max(1, limit),
+		changed:   make(chan struct{}),
+	}
+}
+
+// acquire returns a connection, dials one below the limit or waits for one; exclusive ones carry no other request.
+func (pool *pool) acquire(ctx context.Context, exclusive bool) (*connection, error) {
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		pool.mutex.Lock()
+		if pool.closed {
+			pool.mutex.Unlock()
+			return nil, net.ErrClosed
+		}
+		conn, dial := pool.pickLocked(exclusive)
+		changed := pool.changed
+		pool.mutex.Unlock()
+		if dial {
+			return pool.dial(ctx, exclusive)
+		}
+		if conn != nil {
+			return conn, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// pickLocked prefers an idle connection, then a new one, then the least loaded one that may be shared.
+func (pool *pool) pickLocked(exclusive bool) (*connection, bool) {
+	pool.conns = slices.DeleteFunc(pool.conns, func(conn *connection) bool { return conn.client.Err() != nil })
+	var best *connection
+	for _, conn := range pool.conns {
+		if conn.exclusive || conn.inFlight > 0 && (exclusive || !pool.shared) {
+			continue
+		}
+		if best == nil || conn.inFlight < best.inFlight {
+			best = conn
+		}
+	}
+	room := len(pool.conns)+pool.dialling < pool.limit
+	if best != nil && (best.inFlight == 0 || !room) {
+		best.inFlight++
+		best.exclusive = exclusive
+		return best, false
+	}
+	if room {
+		pool.dialling++
+	}
+	return nil, room
+}
+
+// dial opens a connection, which the caller has counted as dialling, and hands it out.
+func (pool *pool) dial(ctx context.Context, exclusive bool) (*connection, error) {
+	conn, err := pool.open(ctx)
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.dialling--
+	pool.wakeLocked()
+	if err != nil {
+		return nil, err
+	}
+	if pool.closed {
+		conn.close()
+		return nil, net.ErrClosed
+	}
+	conn.inFlight, conn.exclusive = 1, exclusive
+	pool.conns = append(pool.conns, conn)
+	return conn, nil
+}
+
+func (pool *pool) open(ctx context.Context) (*connection, error) {
+	raw := &gatedConn{}
+	client, err := pool.transport.NewClientConn(context.WithValue(ctx, rawKey{}, raw), "http", pool.address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{client: client, raw: raw, http2: pool.shared}, nil
+}
+
+// release gives a connection back; without keep it is closed.
+func (pool *pool) release(conn *connection, keep bool) {
+	if keep {
+		conn.raw.gate.Store(nil) // otherwise the shut gate stops a write that is still under way
+	}
+	pool.mutex.Lock()
+	conn.inFlight--
+	conn.exclusive = false
+	if !keep || pool.closed || len(pool.conns) > pool.limit && conn.inFlight == 0 {
+		pool.conns = slices.DeleteFunc(pool.conns, func(other *connection) bool { return other == conn })
+		defer conn.close()
+	}
+	pool.wakeLocked()
+	pool.mutex.Unlock()
+}
+
+func (pool *pool) wakeLocked() {
+	close(pool.changed)
+	pool.changed = make(chan struct{})
+}
+
+// resize sets the number of connections and closes idle ones above it.
+func (pool *pool) resize(limit int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.limit = max(1, limit)
+	for i := len(pool.conns) - 1; i >= 0 && len(pool.conns) > pool.limit; i-- {
+		if pool.conns[i].inFlight == 0 {
+			defer pool.conns[i].close()
+			pool.conns = slices.Delete(pool.conns, i, i+1)
+		}
+	}
+	pool.wakeLocked()
+}
+
+// warm opens connections up to the limit ahead of requests.
+func (pool *pool) warm(ctx context.Context) {
+	for {
+		pool.mutex.Lock()
+		room := !pool.closed && len(pool.conns)+pool.dialling < pool.limit
+		if room {
+			pool.dialling++
+		}
+		pool.mutex.Unlock()
+		if !room {
+			return
+		}
+		conn, err := pool.dial(ctx, true)
+		if err != nil {
+			return // requests dial on their own once the searcher is back
+		}
+		pool.release(conn, true)
+	}
+}
+
+// close closes idle connections now and busy ones when their requests end.
+func (pool *pool) close() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.closed = true
+	for _, conn := range pool.conns {
+		if conn.inFlight == 0 {
+			defer conn.close()
+		}
+	}
+	pool.wakeLocked()
+}
