--- a/server/search.go
+++ b/server/search.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"carobthread"
+	"carobthread/gatherer"
 	"carobthread/rpc/carobthreadv1"
 )
 
@@ -410,3 +411,22 @@
 		return errors.Join(errors.New("attempts were still running"), ctx.Err())
 	}
 }
+
+// Pending returns the number of queries whose callers wait.
+func (search *Search) Pending() int {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return len(search.pending)
+}
+
+// Stats returns the counts of the core, or nil if it keeps none.
+func (search *Search) Stats() *gatherer.Stats {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	counted, able := search.options.Decider.(interface{ Stats() gatherer.Stats })
+	if !able {
+		return nil
+	}
+	stats := counted.Stats()
+	return &stats
+}
