--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -17,5 +17,6 @@
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
 		{name: "submit", short: "Publish a ticket to the platform.", runner: &submitCommand{}},
+		{name: "explore", short: "Explore schedules of requests that may not be repeated.", runner: &exploreCommand{}},
 	}
 }
