Send attempts through the searcher client of package caller

Cause: the provisional client shared one pool over all services and could not open connections ahead.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,6 +13,7 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"carobthread"
+	"carobthread/caller"
 	"carobthread/gatherer"
 	"carobthread/server"
 	"carobthread/timer"
@@ -23,8 +24,8 @@
 	tickPeriod   = time.Millisecond
 	reportPeriod = time.Second
 	meterPeriod  = time.Second
-	// maxSearcherConnections is the share of about 30 connections a searcher that each of 4 entry hosts may open.
-	maxSearcherConnections = 7
+	// initialConnections is the share of about 30 connections a searcher that each of 4 entry hosts may open, until the core sets it.
+	initialConnections = 7
 )
 
 // Options are what a Runner needs beside its settings.
@@ -42,6 +43,7 @@
 	logger    zerolog.Logger
 	timer     carobthread.Timer
 	spans     *tracer.Exporter
+	caller    *caller.Caller
 	search    *server.Search
 	listeners *listeners
 	ready     atomic.Bool
@@ -57,13 +59,15 @@
 		return nil, err
 	}
 	host.spans = spans
+	host.caller = caller.New(caller.Options{Connections: initialConnections, MaxReplySize: options.Settings.Limits.MaxReplySize})
+	host.closers = append(host.closers, host.caller.Close)
 	registry := prometheus.NewRegistry()
 	scope := host.newScope(registry)
 	host.search = server.NewSearch(server.SearchOptions{
 		Host:     options.Settings.Host.Name,
 		Decider:  gatherer.New(options.Seed, gatherer.Options{}),
 		Timer:    host.timer,
-		Upstream: server.NewClient(maxSearcherConnections),
+		Upstream: host.caller,
 		Tracer:   spans.Provider().Tracer("carobthread"),
 		Meter:    server.NewMeter(scope),
 	})
--- a/server/throughput_test.go
+++ b/server/throughput_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"carobthread"
+	"carobthread/caller"
 	"carobthread/gatherer"
 	"carobthread/rpc/carobthreadv1"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
@@ -141,11 +142,13 @@
 		bare.clients = append(bare.clients, carobthreadv1connect.NewSearcherServiceClient(&http.Client{Transport: transport}, "http://"+searcher.Address))
 	}
 	clock := timer.New()
+	upstream := caller.New(caller.Options{Connections: benchConnections})
+	b.Cleanup(upstream.Close)
 	search := server.NewSearch(server.SearchOptions{
 		Host:     "entry",
 		Decider:  gatherer.New(1, gatherer.Options{}),
 		Timer:    clock,
-		Upstream: server.NewClient(benchConnections),
+		Upstream: upstream,
 		Tracer:   noop.NewTracerProvider().Tracer("bench"),
 		Meter:    server.NewMeter(tally.NoopScope),
 	})
