Add peer links over JSON-RPC

Cause: key forwarding, membership and configuration propagation need one way to call another host that says truthfully whether a request may have run.

Change: package messenger dials peers on demand, checks a hello on both ends (name, data centre, incarnation, protocol version against the view and the seeds), carries absolute deadlines and the W3C trace parent, refuses frames over the limit before decoding, bounds requests in flight and connections without a hello, reconnects with jittered exponential backoff, closes idle links and counts messages and bytes by kind. A failure is not-run only if the request was never handed to the connection or if the peer says so.

Before: no peer links.

Conclusion: the link is ready for the parts that forward requests.

--- /dev/null
+++ b/messenger/envelope.go
@@ -0,0 +1,115 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"go.opentelemetry.io/otel/propagation"
+
+	"carobthread"
+)
+
+// Code of every error response; its data holds the state and the reason.
+const codeRequestFailed = 1
+
+const traceParent = "traceparent"
+
+// envelope is the params member of every request but the hello.
+type envelope struct {
+	// DeadlineMicros is absolute, in microseconds since the Unix epoch.
+	DeadlineMicros int64           `json:"deadline-us"`
+	TraceParent    string          `json:"trace-parent,omitempty"`
+	Body           json.RawMessage `json:"body,omitempty"`
+}
+
+// failureData is the data member of an error response.
+type failureData struct {
+	State            carobthread.RunState `json:"state"`
+	Reason           carobthread.Reason   `json:"reason"`
+	Service          string               `json:"service,omitempty"`
+	Detail           string               `json:"detail,omitempty"`
+	RetryAfterMicros int64                `json:"retry-after-us,omitempty"`
+}
+
+// EncodeRequest returns the frame of a request as a link writes it.
+func EncodeRequest(id uint64, method string, deadline carobthread.Instant, params any) ([]byte, error) {
+	body, err := json.Marshal(params)
+	if err != nil {
+		return nil, err
+	}
+	request := &jsonrpc2.Request{Method: method, ID: jsonrpc2.ID{Num: id}}
+	if err := request.SetParams(envelope{DeadlineMicros: deadline.Micros(), Body: body}); err != nil {
+		return nil, err
+	}
+	return encodeFrame(request)
+}
+
+// EncodeReply returns the frame of a successful response as a link writes it.
+func EncodeReply(id uint64, result any) ([]byte, error) {
+	response := &jsonrpc2.Response{ID: jsonrpc2.ID{Num: id}}
+	if err := response.SetResult(result); err != nil {
+		return nil, err
+	}
+	return encodeFrame(response)
+}
+
+// DecodeRequest returns the method and the body of a request frame without its length prefix.
+func DecodeRequest(content []byte) (method string, body json.RawMessage, err error) {
+	var request jsonrpc2.Request
+	if err := json.Unmarshal(content, &request); err != nil {
+		return "", nil, err
+	}
+	if request.Params == nil {
+		return request.Method, nil, nil
+	}
+	var wrapped envelope
+	if err := json.Unmarshal(*request.Params, &wrapped); err != nil {
+		return "", nil, err
+	}
+	return request.Method, wrapped.Body, nil
+}
+
+func injectTrace(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier.Get(traceParent)
+}
+
+func extractTrace(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceParent: parent})
+}
+
+func refuse(reason carobthread.Reason, detail string) *carobthread.RequestError {
+	return &carobthread.RequestError{State: carobthread.NotRun, Reason: reason, Detail: detail}
+}
+
+// encodeFailure maps a handler's error to a response; an error without a state may have had an effect.
+func encodeFailure(err error) *jsonrpc2.Error {
+	failure := &carobthread.RequestError{State: carobthread.MayHaveRun, Reason: carobthread.ReasonUpstreamFailed, Detail: err.Error()}
+	_ = errors.As(err, &failure)
+	response := &jsonrpc2.Error{Code: codeRequestFailed, Message: string(failure.Reason)}
+	response.SetError(failureData{
+		State: failure.State, Reason: failure.Reason, Service: failure.Service, Detail: failure.Detail,
+		RetryAfterMicros: failure.RetryAfter.Microseconds(),
+	})
+	return response
+}
+
+func decodeFailure(response *jsonrpc2.Error) *carobthread.RequestError {
+	var data failureData
+	if response.Data == nil || json.Unmarshal(*response.Data, &data) != nil || data.State == "" {
+		return &carobthread.RequestError{
+			State: carobthread.MayHaveRun, Reason: carobthread.ReasonUpstreamFailed, Detail: response.Message,
+		}
+	}
+	return &carobthread.RequestError{
+		State: data.State, Reason: data.Reason, Service: data.Service, Detail: data.Detail,
+		RetryAfter: time.Duration(data.RetryAfterMicros) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,208 @@
+package messenger_test
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"carobthread"
+	"carobthread/messenger"
+	"carobthread/timer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type handlerFunc func(ctx context.Context, peer, method string, params json.RawMessage) (any, error)
+
+func (call handlerFunc) Handle(ctx context.Context, peer, method string, params json.RawMessage) (any, error) {
+	return call(ctx, peer, method, params)
+}
+
+func host(name, dataCentre, address string, start carobthread.Instant) carobthread.Host {
+	return carobthread.Host{Name: name, DataCentre: dataCentre, PeerAddress: address, Incarnation: carobthread.Incarnation{Start: start}}
+}
+
+// serve starts a messenger of host "a" that knows "b" of the view and "seed", and returns it with its address.
+func serve(t *testing.T, handler carobthread.PeerHandler) (*messenger.Messenger, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := messenger.New(messenger.Options{
+		Self: host("a", "east", listener.Addr().String(), 1), Seeds: []carobthread.Host{host("seed", "west", "", 0)},
+		Handler: handler, Timer: timer.New(), Logger: zerolog.Nop(),
+	})
+	served.SetHosts(carobthread.View{Hosts: []carobthread.Host{host("b", "east", "", 5)}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- served.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		served.Close()
+		assert.NilError(t, <-done)
+	})
+	return served, listener.Addr().String()
+}
+
+// dialler returns the messenger of host "b" that knows "a" at the address.
+func dialler(t *testing.T, address string) *messenger.Messenger {
+	t.Helper()
+	peer := messenger.New(messenger.Options{
+		Self: host("b", "east", "", 5), Seeds: []carobthread.Host{host("a", "east", address, 0)},
+		Handler: handlerFunc(nil), Timer: timer.New(), Logger: zerolog.Nop(),
+	})
+	t.Cleanup(peer.Close)
+	return peer
+}
+
+func state(err error) carobthread.RunState {
+	var failure *carobthread.RequestError
+	if errors.As(err, &failure) {
+		return failure.State
+	}
+	return ""
+}
+
+// Guards against serving clients that are not hosts of the system.
+func TestHello(t *testing.T) {
+	_, address := serve(t, handlerFunc(func(context.Context, string, string, json.RawMessage) (any, error) { return "pong", nil }))
+	datadriven.RunTest(t, "testdata/hello", func(t *testing.T, data *datadriven.TestData) string {
+		content := strings.TrimSpace(data.Input)
+		size := len(content)
+		if data.Cmd == "hello" {
+			content = fmt.Sprintf(`{"method":"hello","params":{"version":%s,"name":%q,"data-centre":%q,"incarnation":{"start":%s,"random":0}},"id":1,"jsonrpc":"2.0"}`,
+				argument(data, "version"), argument(data, "name"), argument(data, "dc"), argument(data, "start"))
+			size = len(content)
+		}
+		data.MaybeScanArgs(t, "size", &size)
+		return exchange(t, address, content, size)
+	})
+}
+
+func argument(data *datadriven.TestData, key string) string {
+	for _, found := range data.CmdArgs {
+		if found.Key == key {
+			return found.Vals[0]
+		}
+	}
+	return ""
+}
+
+func exchange(t *testing.T, address, content string, size int) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	send := func(content string, size int) string {
+		_, _ = conn.Write(append(binary.AppendUvarint(nil, uint64(size)), content...))
+		buffer := make([]byte, 4096)
+		count, err := conn.Read(buffer)
+		if err != nil && !errors.Is(err, io.EOF) && count == 0 {
+			return ""
+		}
+		return string(buffer[:count])
+	}
+	if send(content, size) == "" {
+		return "closed\n"
+	}
+	ping := `{"method":"ping","params":{"deadline-us":9000000000000000},"id":2,"jsonrpc":"2.0"}`
+	if !strings.Contains(send(ping, len(ping)), `"result":"pong"`) {
+		return "accepted, then no answer\n"
+	}
+	return "accepted, then ping: pong\n"
+}
+
+// Guards against a false "not run": each failure must state what is known about the request.
+func TestFailuresStateWhetherTheRequestRan(t *testing.T) {
+	release := make(chan struct{})
+	var running atomic.Int64
+	handler := handlerFunc(func(ctx context.Context, peer, method string, params json.RawMessage) (any, error) {
+		switch method {
+		case "refuse":
+			return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonStopping, RetryAfter: time.Second}
+		case "wait":
+			running.Add(1)
+			<-release
+			return nil, nil
+		}
+		deadline, _ := ctx.Deadline()
+		return []any{peer, params, deadline.UnixMicro()}, nil
+	})
+	served, address := serve(t, handler)
+	peer := dialler(t, address)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var result []any
+	assert.NilError(t, peer.Call(ctx, "a", "echo", map[string]int{"x": 1}, &result))
+	deadline, _ := ctx.Deadline()
+	assert.Equal(t, result[0], "b")
+	drift := int64(result[2].(float64)) - deadline.UnixMicro()
+	assert.Assert(t, drift > -1e6 && drift < 1e6, "deadline moved by %d us", drift)
+
+	err := peer.Call(ctx, "a", "refuse", nil, nil)
+	var failure *carobthread.RequestError
+	assert.Assert(t, errors.As(err, &failure))
+	assert.DeepEqual(t, *failure, carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonStopping, RetryAfter: time.Second})
+	assert.Equal(t, state(peer.Call(ctx, "nobody", "echo", nil, nil)), carobthread.NotRun)
+
+	const bound = 64
+	results := make(chan error, bound)
+	for range bound {
+		go func() { results <- peer.Call(ctx, "a", "wait", nil, nil) }()
+	}
+	for running.Load() < bound {
+		time.Sleep(time.Millisecond)
+	}
+	over := peer.Call(ctx, "a", "echo", nil, nil)
+	assert.Equal(t, state(over), carobthread.NotRun)
+	assert.ErrorContains(t, over, string(carobthread.ReasonOverload))
+
+	served.SetHosts(carobthread.View{}) // ends the link of "b"
+	for range bound {
+		assert.Equal(t, state(<-results), carobthread.MayHaveRun)
+	}
+	close(release)
+	assert.Equal(t, state(peer.Call(ctx, "a", "echo", nil, nil)), carobthread.NotRun)
+}
+
+// Guards against a link that stays dead after its peer restarts, and against byte counters that miss frames.
+func TestReconnectsAndCountsBytes(t *testing.T) {
+	served, address := serve(t, handlerFunc(func(context.Context, string, string, json.RawMessage) (any, error) { return 7, nil }))
+	peer := dialler(t, address)
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(20*time.Second))
+	defer cancel()
+	assert.NilError(t, peer.Call(ctx, "a", "echo", "x", nil))
+	served.SetHosts(carobthread.View{})
+	served.SetHosts(carobthread.View{Hosts: []carobthread.Host{host("b", "east", "", 5)}})
+	for peer.Call(ctx, "a", "echo", "x", nil) != nil {
+		assert.NilError(t, ctx.Err())
+	}
+	deadline, _ := ctx.Deadline()
+	request, err := messenger.EncodeRequest(1, "echo", carobthread.At(deadline), "x")
+	assert.NilError(t, err)
+	reply, err := messenger.EncodeReply(1, 7)
+	assert.NilError(t, err)
+	for _, count := range peer.Meter().Counts() {
+		if count.Kind != "echo" {
+			continue
+		}
+		size := int64(len(request))
+		if count.Direction == messenger.Received {
+			size = int64(len(reply))
+		}
+		assert.Equal(t, count.Bytes, size*count.Messages, "%s", count.Direction)
+	}
+}
