Add the membership core

Change: package tracker joins the platform's list with records that hosts tell each other: incarnation, a beat that only the host raises, health and a leaving flag, joined by rules that do not depend on order. Changes ride on exchanges at most log2(hosts)+2 times, 8 to a message, and the sum of one bucket of the table in each exchange finds what rumours missed. A host is judged by its own data centre. After an own pause, silence of others counts from the resumption. Marks of leaving searchers spread the same way. The root package gains HostGone for hosts that have no role but may link again.

Before: no membership.

--- a/config.go
+++ b/config.go
@@ -135,6 +135,8 @@
 	HostLive    HostState = "live"
 	HostLeaving HostState = "leaving"
 	HostSuspect HostState = "suspect"
+	// HostGone hosts have been silent for long; they have no role but may link again.
+	HostGone HostState = "gone"
 )
 
 // Host is one entry host of the system as another host sees it.
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,169 @@
+package tracker_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"carobthread"
+	"carobthread/tracker"
+)
+
+const second = int64(time.Second)
+
+// script drives one tracker, host "a" of data centre "east" with incarnation 100.
+type script struct {
+	now     carobthread.Instant
+	tracked *tracker.Tracker
+}
+
+// Guards against wrong joins of list, heartbeats and incarnations, and against judging others by an own pause.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		run := &script{}
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string { return run.execute(t, data) })
+	})
+}
+
+func (run *script) execute(t *testing.T, data *datadriven.TestData) string {
+	var after float64
+	if data.HasArg("after") {
+		data.ScanArgs(t, "after", &after)
+	}
+	run.now += carobthread.Instant(after * float64(second))
+	event := tracker.Event{At: run.now}
+	var name string
+	data.MaybeScanArgs(t, "host", &name)
+	switch data.Cmd {
+	case "new":
+		run.tracked = tracker.New(host("a east 100"), nil, run.now, 1)
+		return run.report(tracker.Changes{View: true})
+	case "tick":
+		var late int64
+		data.MaybeScanArgs(t, "late", &late)
+		event.Tick = &carobthread.Ticked{LateMicros: late * 1e6}
+	case "list":
+		event.List = &tracker.HostsListed{}
+		for _, line := range lines(data.Input) {
+			event.List.Hosts = append(event.List.Hosts, host(line))
+		}
+	case "receive":
+		event.Received = &tracker.GossipReceived{From: name, Gossip: gossip(t, data.Input)}
+	case "silent":
+		event.Silent = &tracker.HostSilent{Host: name}
+	case "searcher":
+		event.Searcher = &tracker.SearcherSeen{Searcher: name, Leaving: !data.HasArg("back")}
+	case "stop":
+		event.Stop = &tracker.SelfStopping{}
+	case "gossip":
+		content, err := json.Marshal(run.tracked.Gossip(name, tracker.Near).Records)
+		assert.NilError(t, err)
+		return string(content) + "\n"
+	}
+	return run.report(run.tracked.Step(event))
+}
+
+// report prints the flags of the changes, and the view and the marks when they changed.
+func (run *script) report(changes tracker.Changes) string {
+	var out strings.Builder
+	if changes.Superseded {
+		out.WriteString("superseded\n")
+	}
+	if changes.Resumed {
+		out.WriteString("resumed\n")
+	}
+	if changes.View {
+		for _, host := range run.tracked.View().Hosts {
+			fmt.Fprintf(&out, "%s %d %s\n", host.Name, host.Incarnation.Start, host.State)
+		}
+	}
+	if changes.Marks {
+		for _, mark := range run.tracked.Marks() {
+			fmt.Fprintf(&out, "searcher %s leaving=%t\n", mark.Searcher, mark.Leaving)
+		}
+	}
+	return out.String()
+}
+
+// host reads "name centre incarnation [leaving]".
+func host(line string) carobthread.Host {
+	fields := strings.Fields(line)
+	start, _ := strconv.ParseInt(fields[2], 10, 64)
+	parsed := carobthread.Host{
+		Name: fields[0], DataCentre: fields[1], PeerAddress: "10.0.0.1:1", State: carobthread.HostLive,
+		Incarnation: carobthread.Incarnation{Start: carobthread.Instant(start)},
+	}
+	if strings.HasSuffix(line, " leaving") {
+		parsed.State = carobthread.HostLeaving
+	}
+	return parsed
+}
+
+// gossip reads lines "name centre incarnation [beat=N] [suspect|gone] [leaving]" and "searcher NAME at=N leaving=BOOL".
+func gossip(t *testing.T, input string) tracker.Gossip {
+	t.Helper()
+	var told tracker.Gossip
+	for _, line := range lines(input) {
+		if rest, found := strings.CutPrefix(line, "searcher "); found {
+			var mark tracker.Mark
+			_, err := fmt.Sscanf(rest, "%s at=%d leaving=%t", &mark.Searcher, &mark.At, &mark.Leaving)
+			assert.NilError(t, err)
+			told.Marks = append(told.Marks, mark)
+			continue
+		}
+		parsed := host(line)
+		record := tracker.Record{
+			Name: parsed.Name, DataCentre: parsed.DataCentre, PeerAddress: parsed.PeerAddress,
+			Incarnation: parsed.Incarnation, Leaving: parsed.State == carobthread.HostLeaving,
+		}
+		for _, field := range strings.Fields(line)[3:] {
+			switch field {
+			case "suspect":
+				record.Health = tracker.Suspected
+			case "gone":
+				record.Health = tracker.Gone
+			default:
+				_, _ = fmt.Sscanf(field, "beat=%d", &record.Beat)
+			}
+		}
+		told.Records = append(told.Records, record)
+	}
+	return told
+}
+
+func lines(input string) []string {
+	if strings.TrimSpace(input) == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimSpace(input), "\n")
+}
+
+// Guards against a record that changes on its way through a message, and against accepting a malformed one.
+func FuzzGossip(f *testing.F) {
+	f.Add([]byte(`{"records":["b east 10.0.0.1:1 2s 5 1 1l"],"marks":["s1 2s l"],"bucket":0,"of":1,"sum":7,"repair":true}`))
+	f.Add([]byte(`{"records":["b east 10.0.0.1:1 2s 5 1 9"]}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var told, again tracker.Gossip
+		if json.Unmarshal(content, &told) != nil {
+			return
+		}
+		encoded, err := json.Marshal(told)
+		assert.NilError(t, err)
+		assert.NilError(t, json.Unmarshal(encoded, &again))
+		assert.DeepEqual(t, told.Records, again.Records)
+		assert.DeepEqual(t, told.Marks, again.Marks)
+		tracked := tracker.New(host("a east 100"), nil, 0, 1)
+		tracked.Step(tracker.Event{Received: &tracker.GossipReceived{From: "b", Gossip: told}})
+		tracked.Answer("b", tracker.Near, told)
+		view := tracked.View()
+		for i := 1; i < len(view.Hosts); i++ {
+			assert.Assert(t, view.Hosts[i-1].Name < view.Hosts[i].Name)
+		}
+	})
+}
