Add the core of configuration propagation

Cause: an accepted change has to be active everywhere within 4 s although the platform allows only some readers, and any host, link or data centre may fail.

The tracker asks a host that missed one exchange again first. The messenger takes seeds without a name, which can be called by address only.

Before: no propagation.

--- a/messenger/hello.go
+++ b/messenger/hello.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"carobthread"
 )
 
@@ -34,7 +36,7 @@
 	known, found := messenger.hosts[stated.Name]
 	messenger.mutex.Unlock()
 	switch {
-	case !found:
+	case !found || known.Name == "":
 		return fmt.Errorf("host %q is not in the view", stated.Name)
 	case known.DataCentre != stated.DataCentre:
 		return fmt.Errorf("host %q states data centre %q, expected %q", stated.Name, stated.DataCentre, known.DataCentre)
@@ -46,12 +48,31 @@
 
 // admitDialled checks that the dialled address belongs to the expected host.
 func (messenger *Messenger) admitDialled(expected string, stated hello) error {
+	messenger.mutex.Lock()
+	known := messenger.hosts[expected]
+	messenger.mutex.Unlock()
+	if known.Name == "" && stated.Version == protocolVersion {
+		return nil // the settings give only the address
+	}
 	if stated.Name != expected {
 		return fmt.Errorf("dialled host %q and reached %q", expected, stated.Name)
 	}
 	return messenger.admit(stated)
 }
 
+// EncodeHello returns the frames that open a link between two hosts.
+func EncodeHello(from, to carobthread.Host) (request, reply []byte, err error) {
+	open := &jsonrpc2.Request{Method: methodHello}
+	if err := open.SetParams((&Messenger{options: Options{Self: from}}).ownHello()); err != nil {
+		return nil, nil, err
+	}
+	if request, err = encodeFrame(open); err != nil {
+		return nil, nil, err
+	}
+	reply, err = EncodeReply(0, (&Messenger{options: Options{Self: to}}).ownHello())
+	return request, reply, err
+}
+
 func decodeHello(params *json.RawMessage) (hello, error) {
 	var stated hello
 	if params == nil {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -9,6 +9,7 @@
 //   - No queue grows without a bound: a request over a bound is refused.
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,7 +40,8 @@
 	backoffMost        = 5 * time.Second
 )
 
-// Options are the parts that a Messenger works with.
+// Options are the parts that a Messenger works with. A seed without a name can
+// be called by its address, but it is accepted only once the view names it.
 type Options struct {
 	Self    carobthread.Host
 	Seeds   []carobthread.Host
@@ -85,7 +87,7 @@
 func (messenger *Messenger) SetHosts(view carobthread.View) {
 	hosts := make(map[string]carobthread.Host, len(view.Hosts)+len(messenger.options.Seeds))
 	for _, host := range messenger.options.Seeds {
-		hosts[host.Name] = host
+		hosts[cmp.Or(host.Name, host.PeerAddress)] = host
 	}
 	for _, host := range view.Hosts {
 		hosts[host.Name] = host
--- /dev/null
+++ b/relayer/reader.go
@@ -0,0 +1,206 @@
+package relayer
+
+import (
+	"slices"
+	"time"
+
+	"carobthread"
+	"carobthread/tracker"
+)
+
+// A reader keeps one watch on the index and one on the list of hosts, and reads
+// the objects that the index names with higher numbers. Whether a host is a
+// reader follows from its view alone, so a host that loses the role only lets
+// its watches end.
+
+const (
+	watchTimeout     = 30 * time.Second
+	readTimeout      = 2 * time.Second
+	platformBackoff  = 500 * time.Millisecond
+	platformMost     = 4 * time.Second
+	maxParallelReads = 16
+)
+
+// watch is the state of one watched key.
+type watch struct {
+	open     bool
+	revision uint64
+	failures int
+	notUntil carobthread.Instant
+}
+
+type reader struct {
+	index, hosts watch
+	// wanted are objects to read; reading counts open reads, and got what they gave.
+	wanted  []carobthread.ObjectID
+	reading int
+	got     [][]byte
+	lost    []carobthread.ObjectID
+	retryAt carobthread.Instant
+	calls   map[CallID]platformCall
+}
+
+// platformCall is an open read or watch.
+type platformCall struct {
+	key    string
+	watch  *watch
+	object carobthread.ObjectID
+}
+
+// reset makes the watches read again, since their state is old after a pause.
+func (reader *reader) reset() {
+	reader.index.revision = 0
+	reader.hosts.revision = 0
+}
+
+// rank returns the own place among the readers of the data centre, or -1.
+func (relayer *Relayer) rank() int {
+	return slices.Index(relayer.roles.Readers(relayer.options.Self.DataCentre), relayer.options.Self.Name)
+}
+
+func (relayer *Relayer) advanceReader() {
+	if relayer.rank() >= 0 {
+		relayer.keepWatch(&relayer.reader.index, relayer.options.IndexKey)
+		relayer.keepWatch(&relayer.reader.hosts, relayer.options.HostsKey)
+	}
+	if len(relayer.reader.lost) > 0 && relayer.now >= relayer.reader.retryAt {
+		lost := relayer.reader.lost
+		relayer.reader.lost = nil
+		relayer.want(lost)
+	}
+}
+
+func (relayer *Relayer) keepWatch(watch *watch, key string) {
+	if watch.open || relayer.now < watch.notUntil {
+		return
+	}
+	watch.open = true
+	id := relayer.platformCall(platformCall{key: key, watch: watch})
+	relayer.act(Action{Watch: &WatchPlatform{
+		Call: id, Key: key, Revision: watch.revision, Deadline: relayer.now.Add(watchTimeout),
+	}})
+}
+
+func (relayer *Relayer) platformCall(open platformCall) CallID {
+	if relayer.reader.calls == nil {
+		relayer.reader.calls = map[CallID]platformCall{}
+	}
+	relayer.lastCall++
+	relayer.reader.calls[relayer.lastCall] = open
+	return relayer.lastCall
+}
+
+func (relayer *Relayer) platformReplied(reply PlatformReplied) {
+	open, found := relayer.reader.calls[reply.Call]
+	if !found {
+		return
+	}
+	delete(relayer.reader.calls, reply.Call)
+	relayer.fresh = relayer.now
+	if open.object != "" {
+		relayer.reader.got = append(relayer.reader.got, reply.Value.Content)
+		relayer.readDone()
+		return
+	}
+	if watch := open.watch; watch != nil {
+		watch.open, watch.failures = false, 0
+		if reply.Value.Revision == watch.revision {
+			return
+		}
+		watch.revision = reply.Value.Revision
+	}
+	switch open.key {
+	case relayer.options.HostsKey:
+		relayer.listed(reply.Value.Content)
+	case relayer.options.IndexKey:
+		relayer.indexRead(open.watch == nil, reply.Value.Content)
+	}
+	if open.watch != nil {
+		relayer.advanceReader() // watch again without waiting for the next tick
+	}
+}
+
+func (relayer *Relayer) platformFailed(failed PlatformFailed) {
+	open, found := relayer.reader.calls[failed.Call]
+	if !found {
+		return
+	}
+	delete(relayer.reader.calls, failed.Call)
+	switch {
+	case open.object != "":
+		relayer.reader.lost = append(relayer.reader.lost, open.object)
+		relayer.reader.retryAt = relayer.now.Add(relayer.jittered(platformBackoff))
+		relayer.readDone()
+	case open.watch != nil:
+		open.watch.open = false
+		span := min(platformBackoff<<min(open.watch.failures, 8), platformMost)
+		open.watch.failures++
+		open.watch.notUntil = relayer.now.Add(relayer.jittered(span))
+	case open.key == relayer.options.IndexKey:
+		relayer.start.indexFailed(relayer.now)
+	}
+}
+
+// jittered returns a random span between half of the given one and all of it.
+func (relayer *Relayer) jittered(span time.Duration) time.Duration {
+	return span/2 + time.Duration(relayer.random.Int64N(int64(span/2)+1))
+}
+
+func (relayer *Relayer) listed(content []byte) {
+	hosts, err := relayer.options.DecodeHosts(content)
+	if err != nil {
+		relayer.act(Action{Finding: &Refused{Source: relayer.options.HostsKey, Findings: err}})
+		return
+	}
+	relayer.track(tracker.Event{List: &tracker.HostsListed{Hosts: hosts}})
+}
+
+func (relayer *Relayer) indexRead(starting bool, content []byte) {
+	if starting {
+		relayer.start.index = content
+		relayer.start.indexState = answered
+		return
+	}
+	missing, err := relayer.state.Missing(content)
+	if err != nil {
+		relayer.act(Action{Finding: &Refused{Source: relayer.options.IndexKey, Findings: err}})
+		return
+	}
+	relayer.want(missing)
+}
+
+// want reads objects from the platform, a bounded number at a time.
+func (relayer *Relayer) want(ids []carobthread.ObjectID) {
+	for _, id := range ids {
+		if !slices.Contains(relayer.reader.wanted, id) {
+			relayer.reader.wanted = append(relayer.reader.wanted, id)
+		}
+	}
+	relayer.readNext()
+}
+
+func (relayer *Relayer) readNext() {
+	for relayer.reader.reading < maxParallelReads && len(relayer.reader.wanted) > 0 {
+		object := relayer.reader.wanted[0]
+		relayer.reader.wanted = relayer.reader.wanted[1:]
+		relayer.reader.reading++
+		key := relayer.options.ObjectPrefix + string(object)
+		id := relayer.platformCall(platformCall{key: key, object: object})
+		relayer.act(Action{Read: &ReadPlatform{Call: id, Key: key, Deadline: relayer.now.Add(readTimeout)}})
+	}
+}
+
+// readDone offers what was read once all reads have ended, so that a ticket is complete when it is offered.
+func (relayer *Relayer) readDone() {
+	relayer.reader.reading--
+	relayer.readNext()
+	if relayer.reader.reading > 0 {
+		return
+	}
+	got := relayer.reader.got
+	relayer.reader.got = nil
+	activated := relayer.offer(SourcePlatform, got)
+	if relayer.start.ready && len(activated) > 0 {
+		relayer.pushRead(activated)
+	}
+}
--- /dev/null
+++ b/relayer/status.go
@@ -0,0 +1,34 @@
+package relayer
+
+import "time"
+
+// SourcePlatform is the source of objects that this host read itself.
+const SourcePlatform = "platform"
+
+// Status is what operators see of the propagation on one host.
+type Status struct {
+	Ready   bool   `json:"ready"`
+	Source  string `json:"source"`
+	Highest uint64 `json:"highest"`
+	Objects int    `json:"objects"`
+	// AgeMicros is the time since any host known here had an answer of the platform, or -1 without one.
+	AgeMicros int64 `json:"age-us"`
+	Reader    bool  `json:"reader"`
+	// PlatformFailures counts failed watches in a row on a reader.
+	PlatformFailures int `json:"platform-failures"`
+}
+
+// Status returns the state at the time of the last event.
+func (relayer *Relayer) Status() Status {
+	age := time.Duration(-1)
+	if relayer.fresh > 0 {
+		age = relayer.now.Sub(relayer.fresh) / time.Microsecond
+	}
+	return Status{
+		Ready: relayer.start.ready, Source: relayer.source, Highest: relayer.state.Highest(), Objects: relayer.state.Len(),
+		AgeMicros: int64(age), Reader: relayer.rank() >= 0, PlatformFailures: relayer.reader.index.failures,
+	}
+}
+
+// Ready reports whether the host has a state to serve with.
+func (relayer *Relayer) Ready() bool { return relayer.start.ready }
--- a/tracker/neighbours.go
+++ b/tracker/neighbours.go
@@ -58,7 +58,14 @@
 }
 
 // NextPeer returns the host for the next exchange within the data centre, or "" if there is none.
+//
+// A host that failed to answer once is asked again first, so that a suspicion needs two exchanges and not two turns.
 func (tracker *Tracker) NextPeer() string {
+	for _, name := range tracker.neighbours.names {
+		if row := tracker.table.get(name); row != nil && row.record.Health == Healthy && row.misses > 0 {
+			return name
+		}
+	}
 	if tracker.random.IntN(probeGoneEvery) == 0 || len(tracker.neighbours.names) == 0 {
 		gone := tracker.inCentre(func(row *entry) bool { return row.record.Health == Gone })
 		if len(gone) > 0 {
@@ -96,3 +103,11 @@
 	slices.Sort(names)
 	return names
 }
+
+// Centre returns the data centre of a known host, or "".
+func (tracker *Tracker) Centre(host string) string {
+	if row := tracker.table.get(host); row != nil {
+		return row.record.DataCentre
+	}
+	return ""
+}
