--- a/messenger/envelope.go
+++ b/messenger/envelope.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"time"
@@ -56,8 +57,12 @@
 	return encodeFrame(response)
 }
 
-// DecodeRequest returns the method and the body of a request frame without its length prefix.
-func DecodeRequest(content []byte) (method string, body json.RawMessage, err error) {
+// DecodeRequest returns the method and the body of a request frame.
+func DecodeRequest(frame []byte) (method string, body json.RawMessage, err error) {
+	content, err := frameContent(frame)
+	if err != nil {
+		return "", nil, err
+	}
 	var request jsonrpc2.Request
 	if err := json.Unmarshal(content, &request); err != nil {
 		return "", nil, err
@@ -72,6 +77,30 @@
 	return request.Method, wrapped.Body, nil
 }
 
+// DecodeReply returns the result of a successful response's frame.
+func DecodeReply(frame []byte) (json.RawMessage, error) {
+	content, err := frameContent(frame)
+	if err != nil {
+		return nil, err
+	}
+	var response jsonrpc2.Response
+	if err := json.Unmarshal(content, &response); err != nil {
+		return nil, err
+	}
+	if response.Result == nil {
+		return nil, errors.New("response without a result")
+	}
+	return *response.Result, nil
+}
+
+func frameContent(frame []byte) ([]byte, error) {
+	length, prefix := binary.Uvarint(frame)
+	if prefix <= 0 || length > maxFrameBytes || length != uint64(len(frame)-prefix) {
+		return nil, errors.New("frame length does not match its prefix")
+	}
+	return frame[prefix:], nil
+}
+
 func injectTrace(ctx context.Context) string {
 	carrier := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, carrier)
--- a/relayer/status.go
+++ b/relayer/status.go
@@ -1,6 +1,10 @@
 package relayer
 
-import "time"
+import (
+	"time"
+
+	"carobthread"
+)
 
 // SourcePlatform is the source of objects that this host read itself.
 const SourcePlatform = "platform"
@@ -32,3 +36,6 @@
 
 // Ready reports whether the host has a state to serve with.
 func (relayer *Relayer) Ready() bool { return relayer.start.ready }
+
+// View returns the hosts as the tracker sees them now.
+func (relayer *Relayer) View() carobthread.View { return relayer.tracked.View() }
