Measure propagation with a fleet on virtual time

Cause: the bounds of 4 s for a ticket and 3 s for a leaving searcher have to hold with a reader killed, a data centre cut off from the platform and other faults, which needs the real cores in one repeatable run.

Change: package estimator runs the cores of 4 to 200 hosts with fake links (delay, loss, cut, one way, pause) and a fake platform (down, stale, rolled back, cut off), and checks that numbers never fall and no ticket is half applied. The relayer now works on the applier directly and tells current from stale platform answers by the index revision.

--- a/estimator/fleet.go
+++ b/estimator/fleet.go
@@ -36,10 +36,12 @@
 	queue    steps
 	sequence uint64
 
-	nodes    []*node
-	byName   map[string]*node
-	network  network
-	platform *platform
+	nodes   []*node
+	byName  map[string]*node
+	network network
+	// measuredFrom is when the load began to be counted.
+	measuredFrom carobthread.Instant
+	platform     *platform
 
 	tickets    []*published
 	marks      []*marked
--- a/estimator/node.go
+++ b/estimator/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/applier"
 	"carobthread/messenger"
 	"carobthread/relayer"
 	"carobthread/tracker"
@@ -22,7 +23,7 @@
 	fleet   *Fleet
 	host    carobthread.Host
 	core    *relayer.Relayer
-	state   relayer.State
+	state   *applier.Applier
 	life    int // counts starts, so that events of an earlier process are dropped
 	alive   bool
 	began   carobthread.Instant
@@ -55,10 +56,9 @@
 	node.numbers = map[carobthread.ObjectID]uint64{}
 	node.marked = map[string]bool{}
 	node.host.Incarnation = carobthread.Incarnation{Start: fleet.now, Random: fleet.random.Uint64()}
-	node.state = newState()
+	node.state = applier.New(applier.Options{})
 	node.core = relayer.New(relayer.Options{
 		Self: node.host, Seeds: fleet.seeds(node.host.Name), State: node.state,
-		IndexKey: indexKey, HostsKey: hostsKey, ObjectPrefix: objectPrefix,
 		DecodeHosts: decodeHosts, Seed: fleet.random.Uint64(),
 	}, fleet.now)
 	node.scheduleTick(relayer.TickPeriod, node.life)
@@ -125,8 +125,12 @@
 		node.fleet.activated(node, action.Config.Entries)
 	case action.Marks != nil:
 		node.fleet.markSeen(node, action.Marks.Marks)
+	case action.Refused != nil:
+		node.fleet.violate("%s refused ticket %d: %v", node.host.Name, action.Refused.Ticket, action.Refused.Findings)
+	case action.Conflict != nil:
+		node.fleet.violate("%s reports a conflict of %s", node.host.Name, action.Conflict.ID)
 	case action.Finding != nil:
-		node.fleet.violate("%s refused objects of %s: %v", node.host.Name, action.Finding.Source, action.Finding.Findings)
+		node.fleet.violate("%s cannot read %s: %v", node.host.Name, action.Finding.Key, action.Finding.Cause)
 	case action.Stop != nil:
 		node.fleet.violate("%s was superseded", node.host.Name)
 	}
--- a/estimator/observe.go
+++ b/estimator/observe.go
@@ -186,3 +186,23 @@
 	spread.P50, spread.P99, spread.Max = at(0.5), at(0.99), spans[len(spans)-1]
 	return spread
 }
+
+// Hosts returns the hosts of the fleet in order of name.
+func (fleet *Fleet) Hosts() []carobthread.Host {
+	hosts := make([]carobthread.Host, len(fleet.nodes))
+	for i, node := range fleet.nodes {
+		hosts[i] = node.host
+	}
+	return hosts
+}
+
+// NotReady returns the running hosts that have no state yet.
+func (fleet *Fleet) NotReady() []string {
+	var names []string
+	for _, node := range fleet.nodes {
+		if node.alive && node.readyAt == 0 {
+			names = append(names, node.host.Name)
+		}
+	}
+	return names
+}
--- a/estimator/platform.go
+++ b/estimator/platform.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	indexKey     = parser.IndexKey
-	hostsKey     = parser.HostsKey
-	objectPrefix = parser.ObjectPrefix
+	indexKey = parser.IndexKey
+	hostsKey = parser.HostsKey
 )
 
 const (
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"carobthread"
+	"carobthread/applier"
 	"carobthread/tracker"
 )
 
@@ -63,8 +64,11 @@
 	View    *carobthread.View
 	Marks   *MarksChanged
 	Config  *ConfigActive
-	Finding *Refused
-	Stop    *Superseded
+	// Refused, Conflict and Finding report content that did not take effect.
+	Refused  *applier.Refusal
+	Conflict *applier.Conflict
+	Finding  *PlatformFinding
+	Stop     *Superseded
 }
 
 // CallPeer asks the process to send a request to another host.
@@ -106,10 +110,10 @@
 	Source  string
 }
 
-// Refused gives the findings of objects that did not become active.
-type Refused struct {
-	Source   string
-	Findings error
+// PlatformFinding is a value of the platform that cannot be used.
+type PlatformFinding struct {
+	Key   string
+	Cause error
 }
 
 // Superseded says that a later incarnation of this host runs, so this process must end.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/applier"
 	"carobthread/assigner"
 	"carobthread/tracker"
 )
@@ -11,8 +12,8 @@
 const (
 	// farPeriod gives each data centre one exchange a second with another one, since its two readers take turns.
 	farPeriod = time.Second
-	// comparePeriod bounds the cost of hosts whose states differ for long, as when one refuses a ticket.
-	comparePeriod = 5 * time.Second
+	// comparePeriod bounds the cost of hosts whose states differ for long, as in a conflict.
+	comparePeriod = 30 * time.Second
 	maxRepairSize = 64 << 10
 	maxCompared   = 1500 // entries of one answer, about 40 KB
 )
@@ -67,17 +68,15 @@
 }
 
 func (relayer *Relayer) digest() Exchange {
-	digest := Exchange{Highest: relayer.state.Highest(), FreshMicros: relayer.fresh.Micros()}
-	for _, sum := range relayer.state.Sums() {
-		digest.Sum += sum
-	}
-	return digest
+	return Exchange{Highest: relayer.state.highest, Root: relayer.state.Root(), FreshMicros: relayer.fresh.Micros()}
 }
 
 func (relayer *Relayer) serveExchange(from string, request Exchange) Exchange {
 	relayer.received(from, request.Gossip)
-	relayer.freshen(request.FreshMicros)
 	answer := relayer.digest()
+	if request.Root == answer.Root {
+		relayer.confirm(from, carobthread.FromMicros(request.FreshMicros))
+	}
 	answer.Gossip = relayer.tracked.Answer(from, relayer.audience(from), request.Gossip)
 	// A host without any state fetches it whole.
 	if request.Highest != 0 && answer.Highest > request.Highest {
@@ -88,7 +87,6 @@
 
 func (relayer *Relayer) exchanged(peer string, answer Exchange) {
 	relayer.received(peer, answer.Gossip)
-	relayer.freshen(answer.FreshMicros)
 	far := relayer.audience(peer) == tracker.Far
 	activated := relayer.offer(peer, answer.Objects)
 	if far && len(activated) > 0 {
@@ -96,7 +94,9 @@
 	}
 	own := relayer.digest()
 	switch {
-	case !relayer.start.ready || answer.Highest == 0 || own.Sum == answer.Sum:
+	case !relayer.start.ready || answer.Highest == 0:
+	case own.Root == answer.Root:
+		relayer.confirm(peer, carobthread.FromMicros(answer.FreshMicros))
 	case own.Highest > answer.Highest:
 		objects := relayer.encoded(relayer.recent.above(answer.Highest), maxRepairSize)
 		if len(objects) > 0 {
@@ -110,7 +110,7 @@
 
 // compare finds the objects that differ when the highest numbers do not tell.
 func (relayer *Relayer) compare(peer string) {
-	call(relayer, peer, MethodCompare, Compare{Sums: relayer.state.Sums()}, fetchTimeout, func(answer *Compared) {
+	call(relayer, peer, MethodCompare, Compare{Digest: relayer.state.Digest()}, fetchTimeout, func(answer *Compared) {
 		if answer != nil {
 			relayer.compared(peer, *answer)
 		}
@@ -118,20 +118,13 @@
 }
 
 func (relayer *Relayer) serveCompare(_ string, request Compare) Compared {
-	answer := Compared{Buckets: []int{}, Entries: []Entry{}}
-	sums := relayer.state.Sums()
-	if len(request.Sums) != len(sums) {
-		return answer
-	}
-	for index, sum := range sums {
-		if sum == request.Sums[index] {
-			continue
-		}
-		entries := relayer.state.Bucket(index)
+	answer := Compared{Buckets: []int{}, Entries: []applier.Entry{}}
+	for _, bucket := range relayer.state.Differing(request.Digest) {
+		entries := relayer.state.Entries([]int{bucket})
 		if len(answer.Buckets) > 0 && len(answer.Entries)+len(entries) > maxCompared {
 			break
 		}
-		answer.Buckets = append(answer.Buckets, index)
+		answer.Buckets = append(answer.Buckets, bucket)
 		answer.Entries = append(answer.Entries, entries...)
 	}
 	return answer
@@ -139,36 +132,21 @@
 
 // compared fetches what the peer has newer and pushes what it has older or lacks.
 func (relayer *Relayer) compared(peer string, answer Compared) {
-	theirs := make(map[carobthread.ObjectID]uint64, len(answer.Entries))
-	for _, entry := range answer.Entries {
-		theirs[entry.ID] = entry.Number
-	}
-	own := map[carobthread.ObjectID]uint64{}
-	var newer []Entry
-	for _, bucket := range answer.Buckets {
-		if bucket < 0 || bucket >= len(relayer.state.Sums()) {
-			return
+	difference := relayer.state.Compare(answer.Buckets, answer.Entries)
+	if len(difference.Conflicts) > 0 {
+		relayer.apply(applier.Event{Differed: &applier.Differed{Source: peer, Entries: difference.Conflicts}})
+	}
+	if len(difference.Newer) > 0 {
+		newer := make([]Entry, len(difference.Newer))
+		for i, id := range difference.Newer {
+			newer[i] = Entry{ID: id}
 		}
-		for _, entry := range relayer.state.Bucket(bucket) {
-			own[entry.ID] = entry.Number
-			if entry.Number > theirs[entry.ID] {
-				newer = append(newer, entry)
-			}
-		}
-	}
-	var older []carobthread.ObjectID
-	for _, entry := range answer.Entries {
-		if entry.Number > own[entry.ID] {
-			older = append(older, entry.ID)
-		}
-	}
-	if len(newer) > 0 {
 		call(relayer, peer, MethodPush, Push{Objects: relayer.encoded(newer, maxRepairSize)}, pushTimeout, func(*Pushed) {})
 	}
-	if len(older) > 0 {
-		relayer.fetchNamed(peer, older)
+	if len(difference.Missing) > 0 {
+		relayer.fetchNamed(peer, difference.Missing)
 	}
-	if len(newer)+len(older) > 0 {
+	if len(difference.Newer)+len(difference.Missing) > 0 {
 		relayer.compareDue = relayer.now // go on with the next exchange while there is progress
 	}
 }
@@ -184,9 +162,3 @@
 		}
 	})
 }
-
-func (relayer *Relayer) freshen(micros int64) {
-	seen := carobthread.FromMicros(micros)
-	// A time ahead of the own clock would make the state look fresh for as long as the clocks differ.
-	relayer.fresh = max(relayer.fresh, min(seen, relayer.now))
-}
--- a/relayer/messages.go
+++ b/relayer/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"carobthread"
+	"carobthread/applier"
 	"carobthread/tracker"
 )
 
@@ -22,10 +23,10 @@
 // Exchange is one side of a digest exchange; the answer has the same form.
 type Exchange struct {
 	Gossip tracker.Gossip `json:"gossip"`
-	// Highest is the highest active ticket number, and Sum the hash of all active ids and numbers.
+	// Highest is the highest active ticket number, and Root the hash of the whole state in force.
 	Highest uint64 `json:"highest"`
-	Sum     uint64 `json:"sum"`
-	// FreshMicros is the last time at which any host known to the sender had an answer of the platform.
+	Root    uint64 `json:"root"`
+	// FreshMicros is the last time at which the state in force was known to be what the platform holds.
 	FreshMicros int64 `json:"fresh-us,omitempty"`
 	// Objects holds, in an answer, the objects of tickets above the asking host's highest.
 	Objects [][]byte `json:"objects,omitempty"`
@@ -68,11 +69,11 @@
 
 // Compare carries the hash of each bucket, to find objects that differ.
 type Compare struct {
-	Sums []uint64 `json:"sums"`
+	Digest applier.Digest `json:"digest"`
 }
 
-// Compared answers a Compare with the numbers of the objects in some buckets that differ.
+// Compared answers a Compare with the objects of some buckets that differ.
 type Compared struct {
-	Buckets []int   `json:"buckets"`
-	Entries []Entry `json:"entries"`
+	Buckets []int           `json:"buckets"`
+	Entries []applier.Entry `json:"entries"`
 }
--- a/relayer/push.go
+++ b/relayer/push.go
@@ -93,9 +93,13 @@
 	if push.Root != "" && !relayer.pusher.firstSight(pushKey{root: push.Root, sequence: push.Sequence}) {
 		return Pushed{}
 	}
-	relayer.offer(from, push.Objects)
+	activated := relayer.offer(from, push.Objects)
 	switch push.Root {
 	case "":
+		// A repair from another data centre brings news to this one.
+		if relayer.audience(from) == tracker.Far {
+			relayer.pushEntries(activated)
+		}
 	case relayer.options.Self.Name:
 		relayer.pushFromHere(Push{Marks: push.Marks, Objects: push.Objects})
 	default:
--- a/relayer/reader.go
+++ b/relayer/reader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/parser"
 	"carobthread/tracker"
 )
 
@@ -38,6 +39,9 @@
 	lost    []carobthread.ObjectID
 	retryAt carobthread.Instant
 	calls   map[CallID]platformCall
+	// covered says that the state was as new as the last index, whose revision had not gone back.
+	covered         bool
+	highestRevision uint64
 }
 
 // platformCall is an open read or watch.
@@ -59,9 +63,9 @@
 }
 
 func (relayer *Relayer) advanceReader() {
-	if relayer.rank() >= 0 {
-		relayer.keepWatch(&relayer.reader.index, relayer.options.IndexKey)
-		relayer.keepWatch(&relayer.reader.hosts, relayer.options.HostsKey)
+	if relayer.start.hostsKnown && relayer.rank() >= 0 {
+		relayer.keepWatch(&relayer.reader.index, parser.IndexKey)
+		relayer.keepWatch(&relayer.reader.hosts, parser.HostsKey)
 	}
 	if len(relayer.reader.lost) > 0 && relayer.now >= relayer.reader.retryAt {
 		lost := relayer.reader.lost
@@ -96,7 +100,6 @@
 		return
 	}
 	delete(relayer.reader.calls, reply.Call)
-	relayer.fresh = relayer.now
 	if open.object != "" {
 		relayer.reader.got = append(relayer.reader.got, reply.Value.Content)
 		relayer.readDone()
@@ -105,14 +108,17 @@
 	if watch := open.watch; watch != nil {
 		watch.open, watch.failures = false, 0
 		if reply.Value.Revision == watch.revision {
+			if watch == &relayer.reader.index && relayer.reader.covered {
+				relayer.confirm(SourcePlatform, relayer.now)
+			}
 			return
 		}
 		watch.revision = reply.Value.Revision
 	}
 	switch open.key {
-	case relayer.options.HostsKey:
+	case parser.HostsKey:
 		relayer.listed(reply.Value.Content)
-	case relayer.options.IndexKey:
+	case parser.IndexKey:
 		relayer.indexRead(open.watch == nil, reply.Value.Content)
 	}
 	if open.watch != nil {
@@ -136,8 +142,10 @@
 		span := min(platformBackoff<<min(open.watch.failures, 8), platformMost)
 		open.watch.failures++
 		open.watch.notUntil = relayer.now.Add(relayer.jittered(span))
-	case open.key == relayer.options.IndexKey:
+	case open.key == parser.IndexKey:
 		relayer.start.indexFailed(relayer.now)
+	case open.key == parser.HostsKey:
+		relayer.start.hostsKnown = true
 	}
 }
 
@@ -147,9 +155,10 @@
 }
 
 func (relayer *Relayer) listed(content []byte) {
+	relayer.start.hostsKnown = true
 	hosts, err := relayer.options.DecodeHosts(content)
 	if err != nil {
-		relayer.act(Action{Finding: &Refused{Source: relayer.options.HostsKey, Findings: err}})
+		relayer.act(Action{Finding: &PlatformFinding{Key: parser.HostsKey, Cause: err}})
 		return
 	}
 	relayer.track(tracker.Event{List: &tracker.HostsListed{Hosts: hosts}})
@@ -161,12 +170,23 @@
 		relayer.start.indexState = answered
 		return
 	}
-	missing, err := relayer.state.Missing(content)
+	relayer.want(relayer.missing(content))
+}
+
+// missing returns the objects to read for an index, and notes whether the state is current.
+func (relayer *Relayer) missing(index []byte) []carobthread.ObjectID {
+	ids, revision, covered, err := relayer.state.missing(index)
 	if err != nil {
-		relayer.act(Action{Finding: &Refused{Source: relayer.options.IndexKey, Findings: err}})
-		return
+		relayer.act(Action{Finding: &PlatformFinding{Key: parser.IndexKey, Cause: err}})
+		return nil
 	}
-	relayer.want(missing)
+	// An index that has gone back says nothing about what is current.
+	relayer.reader.covered = covered && revision >= relayer.reader.highestRevision
+	relayer.reader.highestRevision = max(relayer.reader.highestRevision, revision)
+	if relayer.reader.covered {
+		relayer.confirm(SourcePlatform, relayer.now)
+	}
+	return ids
 }
 
 // want reads objects from the platform, a bounded number at a time.
@@ -184,7 +204,7 @@
 		object := relayer.reader.wanted[0]
 		relayer.reader.wanted = relayer.reader.wanted[1:]
 		relayer.reader.reading++
-		key := relayer.options.ObjectPrefix + string(object)
+		key := parser.ObjectKey(object)
 		id := relayer.platformCall(platformCall{key: key, object: object})
 		relayer.act(Action{Read: &ReadPlatform{Call: id, Key: key, Deadline: relayer.now.Add(readTimeout)}})
 	}
@@ -200,6 +220,10 @@
 	got := relayer.reader.got
 	relayer.reader.got = nil
 	activated := relayer.offer(SourcePlatform, got)
+	if len(relayer.reader.lost) == 0 && len(activated) > 0 {
+		relayer.reader.covered = true
+		relayer.confirm(SourcePlatform, relayer.now)
+	}
 	if relayer.start.ready && len(activated) > 0 {
 		relayer.pushRead(activated)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/applier"
 	"carobthread/assigner"
 	"carobthread/tracker"
 )
@@ -35,9 +36,8 @@
 	Seeds []carobthread.Host
 	// Contacts are further names that the process can call, such as the addresses of seeds without a name.
 	Contacts []string
-	State    State
-	// Keys of the platform; ObjectPrefix stands before an object's id.
-	IndexKey, HostsKey, ObjectPrefix string
+	// State is changed only by the relayer; the process may read it between steps.
+	State *applier.Applier
 	// DecodeHosts reads the platform's list of hosts.
 	DecodeHosts func(content []byte) ([]carobthread.Host, error)
 	Seed        uint64
@@ -46,7 +46,7 @@
 // Relayer is the core of propagation; it is not safe for concurrent use.
 type Relayer struct {
 	options Options
-	state   State
+	state   state
 	tracked *tracker.Tracker
 	roles   *assigner.Assigner
 	random  *rand.Rand
@@ -79,7 +79,7 @@
 	self := options.Self
 	relayer := &Relayer{
 		options: options,
-		state:   options.State,
+		state:   state{Applier: options.State},
 		tracked: tracker.New(self, options.Seeds, now, options.Seed),
 		random:  rand.New(rand.NewPCG(options.Seed, uint64(self.Incarnation.Start)+self.Incarnation.Random)),
 		now:     now,
@@ -129,6 +129,7 @@
 		relayer.roles = assigner.New(view)
 		relayer.act(Action{View: &view})
 	}
+	relayer.apply(applier.Event{Tick: &tick})
 	relayer.advanceStart()
 	relayer.advanceReader()
 	relayer.advancePushes()
@@ -239,10 +240,7 @@
 	if len(objects) == 0 {
 		return nil
 	}
-	activated, findings := relayer.state.Offer(objects)
-	if findings != nil {
-		relayer.act(Action{Finding: &Refused{Source: source, Findings: findings}})
-	}
+	activated := relayer.apply(applier.Event{Arrived: &applier.Arrived{Source: source, Values: objects}})
 	if len(activated) > 0 {
 		relayer.source = source
 		relayer.recent.add(activated)
@@ -251,20 +249,45 @@
 	return activated
 }
 
+// apply steps the state, passes its findings on and returns what became active.
+func (relayer *Relayer) apply(event applier.Event) []Entry {
+	event.At = relayer.now
+	var activated []Entry
+	for _, action := range relayer.state.Step(event) {
+		switch {
+		case action.Changed != nil:
+			activated = append(activated, relayer.state.entries(action.Changed)...)
+		case action.Refused != nil:
+			relayer.act(Action{Refused: action.Refused})
+		case action.Conflict != nil:
+			relayer.act(Action{Conflict: action.Conflict})
+		}
+	}
+	return activated
+}
+
+// confirm notes that the state in force was current at the given time.
+func (relayer *Relayer) confirm(source string, current carobthread.Instant) {
+	// A time ahead of the own clock would make the state look fresh for as long as the clocks differ.
+	current = min(current, relayer.now)
+	if current > relayer.fresh {
+		relayer.fresh = current
+		relayer.apply(applier.Event{Confirmed: &applier.Confirmed{Source: source, Current: current}})
+	}
+}
+
 // encoded returns the active objects of the entries up to a size; the rest comes by later exchanges.
 func (relayer *Relayer) encoded(entries []Entry, limit int) [][]byte {
 	var objects [][]byte
 	size := 0
 	for _, entry := range entries {
-		content, found := relayer.state.Object(entry.ID)
-		if !found {
-			continue
-		}
-		size += len(content)
-		if size > limit && len(objects) > 0 {
-			break
+		for _, content := range relayer.state.Objects([]carobthread.ObjectID{entry.ID}) {
+			size += len(content)
+			if size > limit && len(objects) > 0 {
+				return objects
+			}
+			objects = append(objects, content)
 		}
-		objects = append(objects, content)
 	}
 	return objects
 }
--- a/relayer/start.go
+++ b/relayer/start.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"carobthread"
+	"carobthread/applier"
+	"carobthread/parser"
 	"carobthread/tracker"
 )
 
@@ -41,6 +43,7 @@
 	indexRetry carobthread.Instant
 	peerTried  bool // a peer has failed to answer, or there is none
 	peerAlive  bool // a peer has answered, though it may not be ready
+	hostsKnown bool // the platform's list has been read, or it cannot be
 	fetching   bool
 	fetched    bool
 	completed  bool // the objects that the index names beyond the fetched state are being read
@@ -59,12 +62,12 @@
 	if !start.begun {
 		start.begun = true
 		start.beganAt = relayer.now
-		relayer.readKey(relayer.options.HostsKey)
+		relayer.readKey(parser.HostsKey)
 	}
 	retry := start.indexState == unanswered && relayer.now >= start.indexRetry
 	if start.indexState == unasked || retry && !start.fetched {
 		start.indexState = asked
-		relayer.readKey(relayer.options.IndexKey)
+		relayer.readKey(parser.IndexKey)
 	}
 	if !start.fetched && !start.fetching && relayer.now >= start.nextTry {
 		start.nextTry = relayer.now.Add(relayer.jittered(startRetry))
@@ -83,11 +86,9 @@
 	start := &relayer.start
 	if start.indexState == answered && !start.completed && (start.fetched || relayer.mayReadAll()) {
 		start.completed = true
-		missing, err := relayer.state.Missing(start.index)
+		missing := relayer.missing(start.index)
 		start.index = nil
-		if err != nil {
-			relayer.act(Action{Finding: &Refused{Source: relayer.options.IndexKey, Findings: err}})
-		} else if !start.fetched || len(missing) <= maxStartReads {
+		if !start.fetched || len(missing) <= maxStartReads {
 			relayer.want(missing)
 		}
 	}
@@ -100,6 +101,9 @@
 // mayReadAll reports whether the own host reads the whole state from the platform: as a reader, or without any peer.
 func (relayer *Relayer) mayReadAll() bool {
 	waited := relayer.now.Sub(relayer.start.beganAt) >= peerPatience
+	if !relayer.start.hostsKnown {
+		return false // with its own host alone in the view, every host would be a reader
+	}
 	if relayer.rank() >= 0 {
 		// A reader asks its peers first too, since their state may be newer and costs the platform nothing.
 		return relayer.start.peerTried || relayer.start.peerAlive || waited
@@ -186,14 +190,14 @@
 		return answer
 	}
 	size := 0
-	for index := max(0, request.Cursor); index < len(relayer.state.Sums()); index++ {
-		for _, entry := range relayer.state.Bucket(index) {
-			content, _ := relayer.state.Object(entry.ID)
-			answer.Objects = append(answer.Objects, content)
-			size += len(content)
+	for bucket := max(0, request.Cursor); bucket < applier.Buckets; bucket++ {
+		for _, entry := range relayer.state.Entries([]int{bucket}) {
+			content := relayer.state.Objects([]carobthread.ObjectID{entry.ID})
+			answer.Objects = append(answer.Objects, content...)
+			size += len(content[0])
 		}
-		if size >= maxFetchSize && index+1 < len(relayer.state.Sums()) {
-			answer.Next = index + 1
+		if size >= maxFetchSize && bucket+1 < applier.Buckets {
+			answer.Next = bucket + 1
 			break
 		}
 	}
--- a/relayer/state.go
+++ b/relayer/state.go
@@ -1,27 +1,38 @@
 package relayer
 
-import "carobthread"
+import (
+	"carobthread"
+	"carobthread/applier"
+	"carobthread/parser"
+)
 
 // Entry is an active object's id and ticket number.
 type Entry struct {
-	ID     carobthread.ObjectID `json:"id"`
-	Number uint64               `json:"number"`
+	ID     carobthread.ObjectID
+	Number uint64
 }
 
-// State is the configuration in force on this host; encoded objects are opaque to the relayer.
-type State interface {
-	// Missing returns the objects that the platform's index names with a higher number than the state has taken.
-	Missing(index []byte) ([]carobthread.ObjectID, error)
-	// Offer takes encoded objects and returns what became active, in order; findings name refused objects.
-	Offer(objects [][]byte) (activated []Entry, findings error)
-	// Object returns an active object as encoded.
-	Object(id carobthread.ObjectID) ([]byte, bool)
-	// Sums returns a hash of the active ids and numbers of each bucket; the number of buckets never changes.
-	Sums() []uint64
-	// Bucket returns the active entries of a bucket ordered by id.
-	Bucket(index int) []Entry
-	// Highest returns the highest active ticket number, or 0.
-	Highest() uint64
-	// Len returns the number of active objects.
-	Len() int
+// state is the configuration in force with what the exchange needs to know of it at any time.
+type state struct {
+	*applier.Applier
+	highest uint64
+}
+
+// missing returns the objects to read for an index, and whether the state is as new as the index says.
+func (state *state) missing(index []byte) (ids []carobthread.ObjectID, revision uint64, covered bool, err error) {
+	decoded, findings := parser.DecodeIndex(parser.IndexKey, index)
+	if len(findings) > 0 {
+		return nil, 0, false, findings
+	}
+	return state.Wanted(decoded), decoded.Revision, state.Covers(decoded), nil
+}
+
+// entries returns the changed objects of a step with their numbers.
+func (state *state) entries(changed *applier.Changed) []Entry {
+	entries := make([]Entry, len(changed.Objects))
+	for i, id := range changed.Objects {
+		entries[i] = Entry{ID: id, Number: state.Number(id)}
+		state.highest = max(state.highest, entries[i].Number)
+	}
+	return entries
 }
--- a/relayer/status.go
+++ b/relayer/status.go
@@ -15,7 +15,7 @@
 	Source  string `json:"source"`
 	Highest uint64 `json:"highest"`
 	Objects int    `json:"objects"`
-	// AgeMicros is the time since any host known here had an answer of the platform, or -1 without one.
+	// AgeMicros is the time since the state was last known to be what the platform holds, or -1 if it never was.
 	AgeMicros int64 `json:"age-us"`
 	Reader    bool  `json:"reader"`
 	// PlatformFailures counts failed watches in a row on a reader.
@@ -29,7 +29,7 @@
 		age = relayer.now.Sub(relayer.fresh) / time.Microsecond
 	}
 	return Status{
-		Ready: relayer.start.ready, Source: relayer.source, Highest: relayer.state.Highest(), Objects: relayer.state.Len(),
+		Ready: relayer.start.ready, Source: relayer.source, Highest: relayer.state.highest, Objects: relayer.state.Len(),
 		AgeMicros: int64(age), Reader: relayer.rank() >= 0, PlatformFailures: relayer.reader.index.failures,
 	}
 }
--- a/tracker/neighbours.go
+++ b/tracker/neighbours.go
@@ -12,6 +12,7 @@
 const (
 	neighbourCount = 16
 	rotateSpan     = 10 * time.Second
+	checkSpan      = time.Second // the set is used once a second
 	// One exchange in probeGoneEvery goes to a host that is gone, to find the end of a partition.
 	probeGoneEvery = 8
 )
@@ -19,10 +20,15 @@
 type neighbours struct {
 	names   []string
 	rotated carobthread.Instant
+	checked carobthread.Instant
 }
 
 // rotate drops one neighbour after rotateSpan, and those that are gone, and fills the set from the own data centre.
 func (neighbours *neighbours) rotate(tracker *Tracker, now carobthread.Instant) {
+	if now.Sub(neighbours.checked) < checkSpan {
+		return
+	}
+	neighbours.checked = now
 	neighbours.names = slices.DeleteFunc(neighbours.names, func(name string) bool {
 		row := tracker.table.get(name)
 		return row == nil || row.record.Health == Gone
