Join platform, peers and keys into the running host

Cause: the daemon had no configuration, no peers and no guarded requests.

Change: server.Control runs the propagation core over peer links and the platform client; runner wires it with the query path and the execution of keys; a searcher that drains is passed on to the other hosts; /status and metrics show all parts. deployer starts a whole deployment for the demonstration, whose configuration now comes from published tickets, and which books through every host.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -17,6 +17,7 @@
 	"carobthread"
 	"carobthread/rpc/carobthreadv1"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
+	"carobthread/tracer"
 )
 
 // Limits of every connection.
@@ -91,7 +92,7 @@
 	}
 	gate := &gate{permit: permit}
 	ctx = context.WithValue(ctx, sendKey{}, &send{conn: conn, gate: gate})
-	response, err := lane.client.Run(ctx, connect.NewRequest(request))
+	response, err := lane.client.Run(ctx, traced(ctx, request))
 	if err == nil && response.Msg.GetKey() != request.GetKey() {
 		err = errors.New("the reply names another key")
 	}
@@ -111,7 +112,7 @@
 func (caller *Caller) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
 	lane := caller.lane(request.GetService(), searcher.Address)
 	return repeatable(ctx, lane, request.GetService(), func(ctx context.Context) (*connect.Response[carobthreadv1.SearchShardResponse], error) {
-		return lane.client.SearchShard(ctx, connect.NewRequest(request))
+		return lane.client.SearchShard(ctx, traced(ctx, request))
 	})
 }
 
@@ -119,7 +120,7 @@
 func (caller *Caller) Report(ctx context.Context, searcher carobthread.Searcher) (*carobthreadv1.ReportResponse, error) {
 	lane := caller.lane("", searcher.Address)
 	return repeatable(ctx, lane, "", func(ctx context.Context) (*connect.Response[carobthreadv1.ReportResponse], error) {
-		return lane.client.Report(ctx, connect.NewRequest(&carobthreadv1.ReportRequest{}))
+		return lane.client.Report(ctx, traced(ctx, &carobthreadv1.ReportRequest{}))
 	})
 }
 
@@ -262,3 +263,10 @@
 	}
 	return &carobthread.RequestError{State: state, Reason: reason, Service: service, Detail: err.Error()}
 }
+
+// traced returns a request that carries the context's trace to the searcher.
+func traced[Message any](ctx context.Context, message *Message) *connect.Request[Message] {
+	request := connect.NewRequest(message)
+	tracer.InjectHeader(ctx, request.Header())
+	return request
+}
--- a/cmd/carobctl/demo.go
+++ b/cmd/carobctl/demo.go
@@ -20,7 +20,7 @@
 func (command *demoCommand) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
 	defer cancel()
-	demo, err := demonstrator.New(os.Stdout, command.JSON)
+	demo, err := demonstrator.New(ctx, os.Stdout, command.JSON)
 	if err != nil {
 		return err
 	}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -6,156 +6,67 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/rs/zerolog"
 
-	"carobthread"
-	"carobthread/internal/standin"
-	"carobthread/parser"
+	"carobthread/internal/deployer"
 	"carobthread/rpc/carobthreadv1"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
-	"carobthread/runner"
 )
 
-// Sizes of the demonstration: Kerala's sitter matching.
 const (
-	shards         = 10
-	replicas       = 3
-	slots          = 3
-	hosts          = 4
-	serviceTime    = 6 * time.Millisecond
-	softDeadline   = 80 * time.Millisecond
-	hardDeadline   = 160 * time.Millisecond
-	oldSnapshot    = 41
-	newSnapshot    = 42
-	matching       = "sitter-matching"
 	queriesPerStep = 20
-	freePort       = "127.0.0.1:0"
+	// slowFactor is the straggler's service time in units of the normal one.
+	slowFactor = 30
+	// rollPause lets the searchers' reports say which snapshots they hold.
+	rollPause = 1500 * time.Millisecond
 )
 
-// Result is one step of the demonstration; latencies are in milliseconds.
+// Result is one line of the demonstration; latencies are in milliseconds.
 type Result struct {
 	Step      string  `json:"step"`
-	Host      string  `json:"host"`
+	Host      string  `json:"host,omitempty"`
 	Service   string  `json:"service"`
-	Coverage  string  `json:"coverage"`
-	Snapshot  uint64  `json:"snapshot"`
+	Coverage  string  `json:"coverage,omitempty"`
+	Snapshot  uint64  `json:"snapshot,omitempty"`
 	LatencyMS float64 `json:"latency-ms"`
-	Attempts  uint32  `json:"attempts"`
-	Hits      int     `json:"hits"`
+	Attempts  uint32  `json:"attempts,omitempty"`
+	Hits      int     `json:"hits,omitempty"`
+	Outcome   string  `json:"outcome,omitempty"`
+	Runs      int     `json:"runs,omitempty"`
 	Error     string  `json:"error,omitempty"`
 }
 
-// Demonstrator holds the embedded processes.
+// Demonstrator sends queries and bookings to a deployment and prints what comes back.
 type Demonstrator struct {
-	searchers [][]*standin.Searcher
-	hosts     []*runner.Runner
-	clients   []carobthreadv1connect.QueryServiceClient
-	stopped   []chan error
-	cancel    context.CancelFunc
-	output    io.Writer
-	asJSON    bool
+	deployment *deployer.Deployment
+	nextHost   int
+	output     io.Writer
+	asJSON     bool
 }
 
-// New starts the stand-in searchers and the entry hosts.
-func New(output io.Writer, asJSON bool) (*Demonstrator, error) {
-	demo := &Demonstrator{output: output, asJSON: asJSON}
-	config, err := demo.startSearchers()
+// New starts a deployment for the demonstration.
+func New(ctx context.Context, output io.Writer, asJSON bool) (*Demonstrator, error) {
+	deployment, err := deployer.New(ctx, deployer.Options{})
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	demo.cancel = cancel
-	centres := []string{"kochi", "kochi", "kollam", "thiruvananthapuram"}
-	for index := range hosts {
-		settings := parser.DefaultSettings()
-		settings.Host = carobthread.HostSettings{
-			Name:            fmt.Sprintf("entry-%d", index+1),
-			DataCentre:      centres[index],
-			CallerAddress:   freePort,
-			PeerAddress:     freePort,
-			OperatorAddress: freePort,
-		}
-		settings.Stop.Grace = 0
-		host, err := runner.New(ctx, runner.Options{Settings: settings, Logger: zerolog.Nop(), Seed: uint64(index)})
-		if err != nil {
-			return nil, errors.Join(err, demo.Close())
-		}
-		demo.startHost(ctx, host, config)
-	}
-	return demo, nil
-}
-
-func (demo *Demonstrator) startHost(ctx context.Context, host *runner.Runner, config carobthread.Config) {
-	host.Configure(config)
-	stopped := make(chan error, 1)
-	go func() { stopped <- host.Run(ctx, nil) }()
-	demo.hosts = append(demo.hosts, host)
-	demo.stopped = append(demo.stopped, stopped)
-	client := carobthreadv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+host.CallerAddress())
-	demo.clients = append(demo.clients, client)
+	return &Demonstrator{deployment: deployment, output: output, asJSON: asJSON}, nil
 }
 
-func (demo *Demonstrator) startSearchers() (carobthread.Config, error) {
-	config := carobthread.Config{Services: []carobthread.Service{{
-		Name:          matching,
-		Kind:          carobthread.KindSearch,
-		Preference:    carobthread.LatencyFirst,
-		SoftDeadline:  softDeadline,
-		HardDeadline:  hardDeadline,
-		CoverageFloor: 0.8,
-		HedgeQuantile: 0.95,
-		ExtraShare:    0.05,
-		Layout:        1,
-	}}}
-	layout := carobthread.Layout{Service: matching, Generation: 1}
-	centres := []string{"kochi", "kollam", "thiruvananthapuram"}
-	for shard := range shards {
-		row := []*standin.Searcher{}
-		names := []string{}
-		for replica := range replicas {
-			name := fmt.Sprintf("matching-%02d-%d", shard, replica)
-			searcher, err := standin.NewSearcher(standin.SearcherOptions{
-				Name:        name,
-				Slots:       slots,
-				ServiceTime: serviceTime,
-				Seed:        uint64(shard*replicas + replica),
-				Snapshots:   []uint64{oldSnapshot},
-				Layouts:     []uint32{1},
-			})
-			if err != nil {
-				return config, err
-			}
-			row = append(row, searcher)
-			names = append(names, name)
-			config.Searchers = append(config.Searchers, carobthread.Searcher{
-				Name:        name,
-				Address:     searcher.Address(),
-				DataCentre:  centres[replica],
-				Slots:       slots,
-				Connections: 30,
-			})
-		}
-		demo.searchers = append(demo.searchers, row)
-		layout.Shards = append(layout.Shards, names)
-	}
-	config.Layouts = []carobthread.Layout{layout}
-	return config, nil
-}
-
-// Run sends queries with and without faults and prints each answer; it returns an error if an answer broke a promise.
+// Run shows queries without a fault, with a straggler, a lost replica and an index roll, and a repeated booking.
 func (demo *Demonstrator) Run(ctx context.Context) error {
+	searchers := demo.deployment.Matching
 	steps := []struct {
 		name  string
 		fault func()
 	}{
 		{"no fault", func() {}},
-		{"one searcher 30 times slower", func() { demo.searchers[0][0].Slow(30) }},
-		{"one replica lost", func() { _ = demo.searchers[1][0].Close() }},
-		{"index rolls to the new snapshot", demo.rollIndex},
+		{"one searcher 30 times slower", func() { searchers[0][0].Slow(slowFactor) }},
+		{"one replica lost", func() { _ = searchers[1][0].Close() }},
+		{"index rolls, half of the shards", func() { demo.rollIndex(deployer.Shards / 2) }},
+		{"index rolls, all shards", func() { demo.rollIndex(deployer.Shards) }},
 	}
 	for _, step := range steps {
 		step.fault()
@@ -165,32 +76,39 @@
 			}
 		}
 	}
-	return nil
+	return demo.book(ctx)
 }
 
-func (demo *Demonstrator) rollIndex() {
-	for shard, row := range demo.searchers {
+// rollIndex gives the first shards the new snapshot beside the old one and waits for their reports.
+func (demo *Demonstrator) rollIndex(shards int) {
+	for _, row := range demo.deployment.Matching[:shards] {
 		for _, searcher := range row {
-			if shard%2 == 0 {
-				searcher.Hold([]uint64{oldSnapshot, newSnapshot}, []uint32{1})
-			}
+			searcher.Hold([]uint64{deployer.OldSnapshot, deployer.NewSnapshot}, []uint32{1})
 		}
 	}
+	time.Sleep(rollPause)
+}
+
+// client returns the next host's client in turn, as a balancer does.
+func (demo *Demonstrator) client() carobthreadv1connect.QueryServiceClient {
+	demo.nextHost++
+	return demo.deployment.Hosts[demo.nextHost%len(demo.deployment.Hosts)].Client
 }
 
-// query sends one query to the next host and prints the answer.
 func (demo *Demonstrator) query(ctx context.Context, step string) error {
-	client := demo.clients[0]
-	demo.clients = append(demo.clients[1:], client)
-	response, err := client.Search(ctx, connect.NewRequest(&carobthreadv1.SearchRequest{Service: matching, Query: []byte("tonight"), Limit: 5}))
+	response, err := demo.client().Search(ctx, connect.NewRequest(&carobthreadv1.SearchRequest{
+		Service: deployer.Matching,
+		Query:   []byte("tonight"),
+		Limit:   5,
+	}))
 	if err != nil {
-		return demo.print(Result{Step: step, Service: matching, Error: err.Error()})
+		return demo.print(Result{Step: step, Service: deployer.Matching, Error: err.Error()})
 	}
 	message := response.Msg
 	return demo.print(Result{
 		Step:      step,
 		Host:      message.GetHost(),
-		Service:   matching,
+		Service:   deployer.Matching,
 		Coverage:  fmt.Sprintf("%d/%d", message.GetCoverage().GetAnswered(), message.GetCoverage().GetTotal()),
 		Snapshot:  message.GetSnapshot(),
 		LatencyMS: float64(message.GetLatencyUs()) / 1000,
@@ -199,32 +117,72 @@
 	})
 }
 
+// book reserves one key and executes it through every host; it must run once.
+func (demo *Demonstrator) book(ctx context.Context) error {
+	reserved, err := demo.client().Reserve(ctx, connect.NewRequest(&carobthreadv1.ReserveRequest{Service: deployer.Bookings}))
+	if err != nil {
+		return fmt.Errorf("reserve: %w", err)
+	}
+	key := reserved.Msg.GetKey()
+	for range demo.deployment.Hosts {
+		started := time.Now()
+		response, err := demo.client().Execute(ctx, connect.NewRequest(&carobthreadv1.ExecuteRequest{
+			Key:     key,
+			Service: deployer.Bookings,
+			Payload: []byte("sitter 12, tonight"),
+		}))
+		if err != nil {
+			return fmt.Errorf("execute: %w", err)
+		}
+		result := Result{
+			Step:      "one booking sent through every host",
+			Service:   deployer.Bookings,
+			LatencyMS: float64(time.Since(started).Microseconds()) / 1000,
+			Outcome:   response.Msg.GetStatus().String(),
+			Runs:      demo.runs(key),
+		}
+		if err := demo.print(result); err != nil {
+			return err
+		}
+	}
+	if runs := demo.runs(key); runs != 1 {
+		return fmt.Errorf("the booking ran %d times", runs)
+	}
+	return nil
+}
+
+func (demo *Demonstrator) runs(key string) int {
+	runs := 0
+	for _, searcher := range demo.deployment.Bookings {
+		runs += searcher.Runs(key)
+	}
+	return runs
+}
+
 func (demo *Demonstrator) print(result Result) error {
 	if demo.asJSON {
 		return json.NewEncoder(demo.output).Encode(result)
 	}
-	if result.Error != "" {
-		_, err := fmt.Fprintf(demo.output, "%-34s %s: %s\n", result.Step, result.Service, result.Error)
-		return err
-	}
-	_, err := fmt.Fprintf(demo.output, "%-34s %s coverage=%s snapshot=%d latency=%.1fms attempts=%d hits=%d host=%s\n",
-		result.Step, result.Service, result.Coverage, result.Snapshot, result.LatencyMS, result.Attempts, result.Hits, result.Host)
+	_, err := fmt.Fprintf(demo.output, "%-36s %s\n", result.Step, result.text())
 	return err
 }
 
-// Close stops the entry hosts gracefully and then the searchers.
-func (demo *Demonstrator) Close() error {
-	demo.cancel()
-	var first error
-	for _, stopped := range demo.stopped {
-		if err := <-stopped; err != nil && first == nil {
-			first = err
-		}
+func (result *Result) text() string {
+	switch {
+	case result.Error != "":
+		return result.Service + ": " + result.Error
+	case result.Outcome != "":
+		return fmt.Sprintf("%s outcome=%s latency=%.1fms runs=%d", result.Service, result.Outcome, result.LatencyMS, result.Runs)
+	default:
+		return fmt.Sprintf("%s coverage=%s snapshot=%d latency=%.1fms attempts=%d hits=%d host=%s",
+			result.Service, result.Coverage, result.Snapshot, result.LatencyMS, result.Attempts, result.Hits, result.Host)
 	}
-	for _, row := range demo.searchers {
-		for _, searcher := range row {
-			_ = searcher.Close()
-		}
+}
+
+// Close stops the deployment gracefully.
+func (demo *Demonstrator) Close() error {
+	if err := demo.deployment.Close(); err != nil {
+		return errors.Join(errors.New("the deployment did not stop cleanly"), err)
 	}
-	return first
+	return nil
 }
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -15,7 +15,7 @@
 // Guards against an answer that does not state its coverage or snapshot, and against a stop that cuts a request.
 func TestDemonstrationAnswersEveryQuery(t *testing.T) {
 	output := new(bytes.Buffer)
-	demo, err := demonstrator.New(output, true)
+	demo, err := demonstrator.New(context.Background(), output, true)
 	assert.NilError(t, err)
 	assert.NilError(t, demo.Run(context.Background()))
 	assert.NilError(t, demo.Close())
@@ -29,8 +29,12 @@
 		}
 		assert.NilError(t, err)
 		assert.Equal(t, result.Error, "")
-		assert.Assert(t, result.Coverage != "" && result.Snapshot != 0)
+		if result.Outcome == "" {
+			assert.Assert(t, result.Coverage != "" && result.Snapshot != 0)
+		} else {
+			assert.Equal(t, result.Runs, 1)
+		}
 		answers++
 	}
-	assert.Assert(t, answers >= 80, "answers: %d", answers)
+	assert.Assert(t, answers == 104, "answers: %d", answers)
 }
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -20,49 +20,68 @@
 // listeners are the HTTP servers of one host.
 type listeners struct {
 	caller         net.Listener
+	peer           net.Listener
 	operator       net.Listener
 	callerServer   *http.Server
 	operatorServer *http.Server
 }
 
-// listen binds both addresses before anything is served, so that a wrong address fails at the start.
-func listen(ctx context.Context, settings *carobthread.Settings, callers, operators http.Handler) (*listeners, error) {
+// listen binds every address before anything is served, so that a wrong address fails at the start.
+func listen(ctx context.Context, settings *carobthread.Settings) (*listeners, error) {
+	all := &listeners{}
 	config := new(net.ListenConfig)
-	caller, err := config.Listen(ctx, "tcp", settings.Host.CallerAddress)
-	if err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
+	for _, one := range []struct {
+		target  *net.Listener
+		purpose string
+		address string
+	}{
+		{&all.caller, "callers", settings.Host.CallerAddress},
+		{&all.peer, "peers", settings.Host.PeerAddress},
+		{&all.operator, "operators", settings.Host.OperatorAddress},
+	} {
+		listener, err := config.Listen(ctx, "tcp", one.address)
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("listen for %s: %w", one.purpose, err), all.close())
+		}
+		*one.target = listener
 	}
-	operator, err := config.Listen(ctx, "tcp", settings.Host.OperatorAddress)
-	if err != nil {
-		return nil, errors.Join(fmt.Errorf("listen for operators: %w", err), caller.Close())
+	all.build(settings)
+	return all, nil
+}
+
+func (all *listeners) close() error {
+	var err error
+	for _, listener := range []net.Listener{all.caller, all.peer, all.operator} {
+		if listener != nil {
+			err = errors.Join(err, listener.Close())
+		}
 	}
+	return err
+}
+
+// build makes the HTTP servers with the limits against slow and idle clients.
+func (all *listeners) build(settings *carobthread.Settings) {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	limits := &settings.Limits
-	return &listeners{
-		caller:   caller,
-		operator: operator,
-		callerServer: &http.Server{
-			Handler:           callers,
-			Protocols:         protocols,
-			ReadHeaderTimeout: limits.ReadTimeout,
-			ReadTimeout:       limits.ReadTimeout,
-			IdleTimeout:       limits.IdleTimeout,
-			MaxHeaderBytes:    limits.MaxHeaderSize,
-		},
-		operatorServer: &http.Server{
-			Handler:           operators,
-			ReadHeaderTimeout: limits.ReadTimeout,
-			IdleTimeout:       limits.IdleTimeout,
-			MaxHeaderBytes:    limits.MaxHeaderSize,
-		},
-	}, nil
+	all.callerServer = &http.Server{
+		Protocols:         protocols,
+		ReadHeaderTimeout: limits.ReadTimeout,
+		ReadTimeout:       limits.ReadTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderSize,
+	}
+	all.operatorServer = &http.Server{
+		ReadHeaderTimeout: limits.ReadTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderSize,
+	}
 }
 
 // serve starts both servers; the channel gets the error of each one that ends.
-func (all *listeners) serve() <-chan error {
-	failed := make(chan error, 2)
+func (all *listeners) serve() chan error {
+	failed := make(chan error, 3)
 	go func() { failed <- all.callerServer.Serve(all.caller) }()
 	go func() { failed <- all.operatorServer.Serve(all.operator) }()
 	return failed
@@ -73,7 +92,7 @@
 func (host *Runner) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(
-		server.NewCallers(host.search),
+		server.NewCallers(host.search, host.execution),
 		connect.WithReadMaxBytes(host.settings.Limits.MaxRequestSize),
 	))
 	traced := tracer.Handler(mux)
@@ -94,6 +113,7 @@
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /status", host.serveStatus)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -11,23 +13,35 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel/trace"
 
 	"carobthread"
 	"carobthread/caller"
+	"carobthread/executor"
 	"carobthread/gatherer"
+	"carobthread/messenger"
+	"carobthread/relayer"
 	"carobthread/server"
 	"carobthread/timer"
 	"carobthread/tracer"
+	"carobthread/watcher"
 )
 
 const (
 	tickPeriod   = time.Millisecond
 	reportPeriod = time.Second
 	meterPeriod  = time.Second
+	// executionTickPeriod bounds how late an expired key is noticed.
+	executionTickPeriod = 100 * time.Millisecond
+	// secretBytes is the length of the key-signing secret.
+	secretBytes = 32
 	// initialConnections is the share of about 30 connections a searcher that each of 4 entry hosts may open, until the core sets it.
 	initialConnections = 7
 )
 
+// errSuperseded ends a process whose host name runs in a later incarnation elsewhere.
+var errSuperseded = errors.New("a later incarnation of this host is running")
+
 // Options are what a Runner needs beside its settings.
 type Options struct {
 	Settings carobthread.Settings
@@ -38,46 +52,108 @@
 
 // Runner is one entry host.
 type Runner struct {
-	options   Options
-	settings  *carobthread.Settings
-	logger    zerolog.Logger
-	timer     carobthread.Timer
-	spans     *tracer.Exporter
-	caller    *caller.Caller
-	search    *server.Search
-	listeners *listeners
-	ready     atomic.Bool
-	stopping  atomic.Bool
-	closers   []func()
+	options    Options
+	settings   *carobthread.Settings
+	logger     zerolog.Logger
+	timer      carobthread.Timer
+	spans      *tracer.Exporter
+	tracer     trace.Tracer
+	meter      *server.Meter
+	caller     *caller.Caller
+	messenger  *messenger.Messenger
+	watcher    *watcher.Watcher
+	search     *server.Search
+	execution  *server.Execution
+	control    *server.Control
+	listeners  *listeners
+	ready      atomic.Bool
+	stopping   atomic.Bool
+	superseded chan struct{}
+	closers    []func()
 }
 
 // New builds the parts and listens on the host's addresses; it serves once Run is called.
 func New(ctx context.Context, options Options) (*Runner, error) {
-	host := &Runner{options: options, settings: &options.Settings, logger: options.Logger, timer: timer.New()}
+	host := &Runner{
+		options:    options,
+		settings:   &options.Settings,
+		logger:     options.Logger,
+		timer:      timer.New(),
+		superseded: make(chan struct{}, 1),
+	}
 	spans, err := tracer.New(ctx, options.Settings.Host.Name, options.Settings.Trace.Spans)
 	if err != nil {
 		return nil, err
 	}
 	host.spans = spans
-	host.caller = caller.New(caller.Options{Connections: initialConnections, MaxReplySize: options.Settings.Limits.MaxReplySize})
-	host.closers = append(host.closers, host.caller.Close)
+	host.tracer = spans.Provider().Tracer("carobthread")
 	registry := prometheus.NewRegistry()
-	scope := host.newScope(registry)
-	host.search = server.NewSearch(server.SearchOptions{
-		Host:     options.Settings.Host.Name,
-		Decider:  gatherer.New(options.Seed, gatherer.Options{}),
-		Timer:    host.timer,
-		Upstream: host.caller,
-		Tracer:   spans.Provider().Tracer("carobthread"),
-		Meter:    server.NewMeter(scope),
-	})
-	host.listeners, err = listen(ctx, host.settings, host.callerHandler(), host.operatorHandler(registry))
+	host.meter = server.NewMeter(host.newScope(registry))
+	host.listeners, err = listen(ctx, host.settings)
 	if err != nil {
 		return nil, err
 	}
+	self := host.identity()
+	host.caller = caller.New(caller.Options{Connections: initialConnections, MaxReplySize: options.Settings.Limits.MaxReplySize})
+	host.search = host.newSearch()
+	host.buildPeers(self, options.Seed)
+	host.listeners.callerServer.Handler = host.callerHandler()
+	host.listeners.operatorServer.Handler = host.operatorHandler(registry)
+	host.setView(carobthread.View{Self: self.Name, Hosts: []carobthread.Host{self}})
 	return host, nil
 }
 
+// identity names this process; the random part tells two starts in the same instant apart.
+func (host *Runner) identity() carobthread.Host {
+	return carobthread.Host{
+		Name:        host.settings.Host.Name,
+		DataCentre:  host.settings.Host.DataCentre,
+		PeerAddress: host.listeners.peer.Addr().String(),
+		Incarnation: carobthread.Incarnation{Start: host.timer.Now(), Random: rand.Uint64()},
+		State:       carobthread.HostLive,
+	}
+}
+
+func (host *Runner) newSearch() *server.Search {
+	return server.NewSearch(server.SearchOptions{
+		Host:     host.settings.Host.Name,
+		Decider:  gatherer.New(host.options.Seed, gatherer.Options{}),
+		Timer:    host.timer,
+		Upstream: host.caller,
+		Tracer:   host.tracer,
+		Meter:    host.meter,
+		Drained:  func(searcher string, leaving bool) { host.control.SearcherSeen(searcher, leaving) },
+		Reported: func(report carobthread.ReportArrived) { host.execution.Report(report) },
+	})
+}
+
+func (host *Runner) newExecution(self carobthread.Host, seed uint64) *server.Execution {
+	limits := &host.settings.Limits
+	return server.NewExecution(server.ExecutionOptions{
+		Core: executor.New(executor.Options{
+			Host:        self.Name,
+			DataCentre:  self.DataCentre,
+			Incarnation: self.Incarnation,
+			Secret:      newSecret(),
+			Seed:        seed,
+			KeyLifetime: limits.KeyExpiry,
+			MaxKeys:     limits.MaxKeys,
+			MaxBytes:    limits.MaxKeyBytes,
+		}),
+		Timer:  host.timer,
+		Peers:  host.messenger,
+		Runner: host.caller,
+		Tracer: host.tracer,
+	})
+}
+
+// newSecret returns the secret that signs this incarnation's keys; it never leaves the process.
+func newSecret() []byte {
+	secret := make([]byte, secretBytes)
+	_, _ = cryptorand.Read(secret) // never fails, see crypto/rand
+	return secret
+}
+
 func (host *Runner) newScope(registry *prometheus.Registry) tally.Scope {
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -96,11 +172,11 @@
 // OperatorAddress returns the IP address and port of health, readiness, metrics and status.
 func (host *Runner) OperatorAddress() string { return host.listeners.operator.Addr().String() }
 
-// Configure puts a configuration in force.
-func (host *Runner) Configure(config carobthread.Config) {
-	host.search.Configure(config)
-	host.ready.Store(true)
-}
+// PeerAddress returns the IP address and port that the other hosts use.
+func (host *Runner) PeerAddress() string { return host.listeners.peer.Addr().String() }
+
+// Ready reports whether the host takes queries.
+func (host *Runner) Ready() bool { return host.ready.Load() && !host.stopping.Load() }
 
 // Run serves until the context ends, then stops gracefully; a value on abort ends the stop at once.
 // The error names the requests that were cut, if any.
@@ -109,30 +185,47 @@
 	defer cancel()
 	unsubscribe := host.subscribe(background)
 	failed := host.listeners.serve()
+	go func() { failed <- host.messenger.Serve(background, host.listeners.peer) }()
 	host.logger.Info().
 		Str("caller-address", host.CallerAddress()).
+		Str("peer-address", host.PeerAddress()).
 		Str("operator-address", host.OperatorAddress()).
 		Msg("serving")
 	var err error
 	select {
 	case <-ctx.Done():
 		err = host.stop(background, abort)
+	case <-host.superseded:
+		err = errors.Join(errSuperseded, host.stop(background, abort))
 	case err = <-failed:
 		err = fmt.Errorf("serve: %w", err)
 	}
 	unsubscribe()
+	host.close()
+	return errors.Join(err, host.spans.Close(background))
+}
+
+// close ends the parts in the order in which they use each other.
+func (host *Runner) close() {
+	host.control.Close()
+	host.messenger.Close()
+	host.watcher.Close()
+	host.caller.Close()
 	for _, closer := range host.closers {
 		closer()
 	}
-	return errors.Join(err, host.spans.Close(background))
 }
 
 // subscribe starts the periodic work and returns the function that ends it.
 func (host *Runner) subscribe(ctx context.Context) func() {
 	poll := func(carobthread.Instant, time.Duration) { go host.search.Poll(ctx) }
+	report := func(carobthread.Instant, time.Duration) { host.reportStats() }
 	cancels := []func(){
 		host.timer.Subscribe(tickPeriod, host.search),
+		host.timer.Subscribe(executionTickPeriod, host.execution),
+		host.timer.Subscribe(relayer.TickPeriod, host.control),
 		host.timer.Subscribe(reportPeriod, carobthread.SubscriberFunc(poll)),
+		host.timer.Subscribe(reportPeriod, carobthread.SubscriberFunc(report)),
 	}
 	return func() {
 		for _, cancel := range cancels {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -11,7 +11,7 @@
 var errAborted = errors.New("aborted by a second signal")
 
 // stop ends the host in this order: it is not ready, the balancer gets its grace period in which work is still
-// accepted, the servers finish what they have accepted, and the attempts end.
+// accepted, new keys are refused as not run, the servers finish what they have accepted, and the attempts end.
 func (host *Runner) stop(background context.Context, abort <-chan struct{}) error {
 	ctx, cancel := context.WithTimeoutCause(background, host.settings.Stop.Limit, errors.New("stop limit reached"))
 	defer cancel()
@@ -26,9 +26,11 @@
 	}()
 	host.stopping.Store(true)
 	host.logger.Info().Dur("grace", host.settings.Stop.Grace).Msg("stopping, not ready")
+	host.control.Leave()
 	pause(ctx, host.settings.Stop.Grace)
+	host.execution.Stop()
 	err := host.listeners.callerServer.Shutdown(ctx)
-	err = errors.Join(err, host.search.Wait(ctx))
+	err = errors.Join(err, host.search.Wait(ctx), host.execution.Wait(ctx))
 	err = errors.Join(err, host.listeners.operatorServer.Shutdown(ctx))
 	if err != nil {
 		err = fmt.Errorf("stop was cut short (%w), %d queries cut: %w", context.Cause(ctx), host.search.Pending(), err)
--- /dev/null
+++ b/server/control.go
@@ -0,0 +1,229 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"carobthread"
+	"carobthread/applier"
+	"carobthread/relayer"
+	"carobthread/tracker"
+)
+
+// watchSlack is the time for the platform's statement that a watched key has not changed to arrive after the watch's end.
+const watchSlack = 5 * time.Second
+
+// ControlOptions are the parts that a Control works with.
+type ControlOptions struct {
+	Self     carobthread.Host
+	Relayer  *relayer.Relayer
+	State    *applier.Applier
+	Timer    carobthread.Timer
+	Peers    carobthread.Peers
+	Platform carobthread.Platform
+	Logger   zerolog.Logger
+	// Configured is called with each configuration that becomes active and with each change of the searchers that leave.
+	Configured func(config carobthread.Config)
+	// Viewed is called with each new view of the entry hosts.
+	Viewed func(view carobthread.View)
+	// Superseded is called when a later incarnation of this host is known.
+	Superseded func()
+}
+
+// Control is the process around the propagation core; it serves the peer requests of the core's methods.
+type Control struct {
+	options ControlOptions
+	ctx     context.Context
+	cancel  context.CancelFunc
+	calls   sync.WaitGroup
+
+	mutex sync.Mutex
+	marks []tracker.Mark
+}
+
+var (
+	_ carobthread.PeerHandler = (*Control)(nil)
+	_ carobthread.Subscriber  = (*Control)(nil)
+)
+
+// NewControl returns a Control that starts with its first tick.
+func NewControl(options ControlOptions) *Control {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Control{options: options, ctx: ctx, cancel: cancel}
+}
+
+// Tick passes time to the core.
+func (control *Control) Tick(_ carobthread.Instant, late time.Duration) {
+	if late >= tracker.PauseThreshold {
+		control.options.Logger.Warn().Dur("late", late).Msg("pause detected")
+	}
+	control.step(relayer.Event{Tick: &carobthread.Ticked{LateMicros: late.Microseconds()}})
+}
+
+// SearcherSeen passes a searcher's own sign that it leaves or is back to the other hosts.
+func (control *Control) SearcherSeen(searcher string, leaving bool) {
+	control.step(relayer.Event{Searcher: &tracker.SearcherSeen{Searcher: searcher, Leaving: leaving}})
+}
+
+// Leave tells the other hosts that this one takes no new work.
+func (control *Control) Leave() { control.step(relayer.Event{Stop: &tracker.SelfStopping{}}) }
+
+// Close ends the calls in progress and waits for them.
+func (control *Control) Close() {
+	control.cancel()
+	control.calls.Wait()
+}
+
+// Handle serves one request of a peer.
+func (control *Control) Handle(_ context.Context, peer, method string, params json.RawMessage) (any, error) {
+	respond := control.step(relayer.Event{Request: &relayer.PeerRequest{From: peer, Method: method, Body: params}})
+	if respond == nil {
+		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonNotReady, Detail: method}
+	}
+	if respond.Failure != nil {
+		return nil, respond.Failure
+	}
+	return respond.Result, nil
+}
+
+// step performs the actions of one event; the parts that are told of changes must not call back.
+func (control *Control) step(event relayer.Event) *relayer.Respond {
+	control.mutex.Lock()
+	defer control.mutex.Unlock()
+	event.At = control.options.Timer.Now()
+	var respond *relayer.Respond
+	for _, action := range control.options.Relayer.Step(event) {
+		if action.Respond != nil {
+			respond = action.Respond
+			continue
+		}
+		control.perform(event.At, action)
+	}
+	return respond
+}
+
+func (control *Control) perform(now carobthread.Instant, action relayer.Action) {
+	logger := &control.options.Logger
+	switch {
+	case action.Call != nil:
+		control.start(now, action.Call.Deadline, func(ctx context.Context) relayer.Event { return control.call(ctx, action.Call) })
+	case action.Read != nil:
+		control.start(now, action.Read.Deadline, func(ctx context.Context) relayer.Event {
+			value, err := control.options.Platform.Read(ctx, action.Read.Key)
+			return platformEvent(action.Read.Call, value, err)
+		})
+	case action.Watch != nil:
+		control.start(now, action.Watch.Deadline.Add(watchSlack), func(ctx context.Context) relayer.Event {
+			value, err := control.options.Platform.Watch(ctx, action.Watch.Key, action.Watch.Revision)
+			return platformEvent(action.Watch.Call, value, err)
+		})
+	case action.View != nil:
+		control.options.Viewed(*action.View)
+	case action.Marks != nil:
+		control.marks = action.Marks.Marks
+		control.configure()
+	case action.Config != nil:
+		logger.Info().Int("objects", len(action.Config.Entries)).Str("source", action.Config.Source).Msg("configuration active")
+		control.configure()
+	case action.Stop != nil:
+		logger.Error().Msg("a later incarnation of this host is running")
+		control.options.Superseded()
+	default:
+		control.report(action)
+	}
+}
+
+// report logs content that did not take effect.
+func (control *Control) report(action relayer.Action) {
+	logger := &control.options.Logger
+	switch {
+	case action.Refused != nil:
+		logger.Warn().Interface("refusal", action.Refused).Msg("ticket refused")
+	case action.Conflict != nil:
+		logger.Warn().Interface("conflict", action.Conflict).Msg("ticket number published with two contents")
+	case action.Finding != nil:
+		logger.Warn().Str("key", action.Finding.Key).AnErr("cause", action.Finding.Cause).Msg("platform value cannot be used")
+	}
+}
+
+// configure joins the active configuration with the searchers that were seen leaving.
+func (control *Control) configure() {
+	config := control.options.State.Config()
+	config.Searchers = slices.Clone(config.Searchers)
+	leaving := make(map[string]bool, len(control.marks))
+	for _, mark := range control.marks {
+		leaving[mark.Searcher] = mark.Leaving
+	}
+	for i := range config.Searchers {
+		if leaving[config.Searchers[i].Name] {
+			config.Searchers[i].Leaving = true
+		}
+	}
+	if len(config.Services) > 0 {
+		control.options.Configured(config)
+	}
+}
+
+// start runs a call until its deadline and then steps the core with its end.
+func (control *Control) start(now, deadline carobthread.Instant, work func(ctx context.Context) relayer.Event) {
+	control.calls.Add(1)
+	go func() {
+		defer control.calls.Done()
+		ctx, cancel := context.WithTimeout(control.ctx, deadline.Sub(now))
+		defer cancel()
+		event := work(ctx)
+		if control.ctx.Err() == nil {
+			control.step(event)
+		}
+	}()
+}
+
+func (control *Control) call(ctx context.Context, call *relayer.CallPeer) relayer.Event {
+	var body json.RawMessage
+	err := control.options.Peers.Call(ctx, call.Host, call.Method, call.Params, &body)
+	if err == nil {
+		return relayer.Event{Reply: &relayer.PeerReplied{Call: call.Call, Body: body}}
+	}
+	failed := &relayer.PeerFailed{Call: call.Call, Reason: carobthread.ReasonHostUnreachable}
+	var failure *carobthread.RequestError
+	if errors.As(err, &failure) {
+		failed.Reason = failure.Reason
+	}
+	return relayer.Event{Failure: failed}
+}
+
+// platformEvent maps the end of a read or watch; a watch that ends without a change gives a value without content.
+func platformEvent(call relayer.CallID, value carobthread.Value, err error) relayer.Event {
+	if err == nil {
+		return relayer.Event{Value: &relayer.PlatformReplied{Call: call, Value: value}}
+	}
+	var failure *carobthread.PlatformError
+	missing := errors.As(err, &failure) && failure.Missing
+	return relayer.Event{PlatformFailed: &relayer.PlatformFailed{Call: call, Missing: missing}}
+}
+
+// ControlStatus is what operators see of configuration and membership on one host.
+type ControlStatus struct {
+	Propagation   relayer.Status   `json:"propagation"`
+	Configuration applier.Status   `json:"configuration"`
+	View          carobthread.View `json:"view"`
+	Marks         []tracker.Mark   `json:"marks"`
+}
+
+// Status returns what operators see.
+func (control *Control) Status() ControlStatus {
+	control.mutex.Lock()
+	defer control.mutex.Unlock()
+	return ControlStatus{
+		Propagation:   control.options.Relayer.Status(),
+		Configuration: control.options.State.Status(control.options.Timer.Now()),
+		View:          control.options.Relayer.View(),
+		Marks:         control.marks,
+	}
+}
--- /dev/null
+++ b/server/drain.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"time"
+
+	"carobthread"
+)
+
+// backAfter is how long a searcher must report that it takes work before it counts as back; its reports lag.
+const backAfter = 5 * time.Second
+
+// drainWatch joins what replies and reports say of searchers that drain; it is not safe for concurrent use.
+type drainWatch struct {
+	since map[string]carobthread.Instant // the last sign of draining
+}
+
+func newDrainWatch() *drainWatch { return &drainWatch{since: map[string]carobthread.Instant{}} }
+
+// observe takes one sign and reports whether the searcher's state changed and to which.
+func (watch *drainWatch) observe(now carobthread.Instant, searcher string, draining bool) (changed, leaving bool) {
+	last, known := watch.since[searcher]
+	if draining {
+		watch.since[searcher] = now
+		return !known, true
+	}
+	if known && now.Sub(last) >= backAfter {
+		delete(watch.since, searcher)
+		return true, false
+	}
+	return false, known
+}
--- a/server/meter.go
+++ b/server/meter.go
@@ -65,3 +65,10 @@
 		}
 	}
 }
+
+// PeerTraffic reports the messages and bytes of one kind of peer request in one direction since the start.
+func (meter *Meter) PeerTraffic(kind, direction string, messages, bytes int64) {
+	scope := meter.scope.Tagged(map[string]string{"kind": kind, "direction": direction})
+	scope.Gauge("peer_messages").Update(float64(messages))
+	scope.Gauge("peer_bytes").Update(float64(bytes))
+}
--- a/server/search.go
+++ b/server/search.go
@@ -30,6 +30,10 @@
 	Upstream carobthread.Upstream
 	Tracer   trace.Tracer
 	Meter    *Meter
+	// Drained is called, outside of locks, when a searcher is seen to drain or to be back; nil ignores it.
+	Drained func(searcher string, leaving bool)
+	// Reported is called with each report of a searcher; nil ignores it.
+	Reported func(report carobthread.ReportArrived)
 }
 
 // Search serves callers' queries; it owns the query path's core.
@@ -41,6 +45,7 @@
 	mutex     sync.Mutex
 	searchers map[string]carobthread.Searcher
 	pending   map[carobthread.QueryID]*pendingQuery
+	drains    *drainWatch
 	running   sync.WaitGroup
 }
 
@@ -66,6 +71,7 @@
 		options:   options,
 		searchers: map[string]carobthread.Searcher{},
 		pending:   map[carobthread.QueryID]*pendingQuery{},
+		drains:    newDrainWatch(),
 	}
 }
 
@@ -313,7 +319,6 @@
 		event.SnapshotAgeMicros = response.GetSnapshotAgeUs()
 	}
 	search.mutex.Lock()
-	defer search.mutex.Unlock()
 	if query := search.pending[action.Query]; query != nil {
 		delete(query.cancels, action.Attempt)
 		if event.Status == carobthread.ReplyOK {
@@ -321,6 +326,23 @@
 		}
 	}
 	search.stepLocked(carobthread.Event{Reply: event})
+	search.mutex.Unlock()
+	if event.Draining || event.Status == carobthread.ReplyDraining {
+		search.observe(action.Searcher, true)
+	}
+}
+
+// observe passes a sign of draining on if it changes what is known of the searcher.
+func (search *Search) observe(searcher string, draining bool) {
+	if search.options.Drained == nil {
+		return
+	}
+	search.mutex.Lock()
+	changed, leaving := search.drains.observe(search.options.Timer.Now(), searcher, draining)
+	search.mutex.Unlock()
+	if changed {
+		search.options.Drained(searcher, leaving)
+	}
 }
 
 func replyStatus(status carobthreadv1.ShardStatus) carobthread.ReplyStatus {
@@ -395,6 +417,12 @@
 		event.SnapshotAgeMicros = report.GetSnapshotAgeUs()
 	}
 	search.step(carobthread.Event{Report: event})
+	if search.options.Reported != nil {
+		search.options.Reported(*event)
+	}
+	if err == nil {
+		search.observe(searcher.Name, report.GetDraining())
+	}
 }
 
 // Wait returns when no attempt runs any more or the context ends.
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -109,7 +109,7 @@
 func TestBadInputIsRefusedAsNotRun(t *testing.T) {
 	search := startSearch(t, &crossingUpstream{random: rand.New(rand.NewPCG(1, 2))})
 	mux := http.NewServeMux()
-	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(server.NewCallers(search)))
+	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(server.NewCallers(search, nil)))
 	front := httptest.NewServer(mux)
 	defer front.Close()
 	client := carobthreadv1connect.NewQueryServiceClient(front.Client(), front.URL)
--- a/server/throughput_test.go
+++ b/server/throughput_test.go
@@ -155,7 +155,7 @@
 	search.Configure(config)
 	stop := clock.Subscribe(time.Millisecond, search)
 	defer stop()
-	tier := startQueryService(b, server.NewCallers(search))
+	tier := startQueryService(b, server.NewCallers(search, nil))
 	plain := startQueryService(b, bare)
 	queryRate(b, plain)
 	queryRate(b, tier)
