--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -106,20 +106,43 @@
 	if gatherer.now.Add(service.latency.fast) >= query.deadline {
 		return
 	}
+	kind := carobthread.AttemptHedge
 	if gatherer.now < service.hedgeFrom {
-		state.checkAt = service.hedgeFrom
-		return
+		if !state.suspect() {
+			state.checkAt = service.hedgeFrom
+			return
+		}
+		kind = carobthread.AttemptRetry
 	}
 	index, found := gatherer.choose(query, shard)
-	if index < 0 && found != classSaturated || found == classEjected {
+	if found > classSaturated {
 		return
 	}
-	if index < 0 || !service.budget.TakeHedge() {
+	if index < 0 || !service.pay(kind) {
 		gatherer.stats.BudgetRefused++
 		state.checkAt = gatherer.now.Add(max(pollInterval, service.latency.hedge/2))
 		return
 	}
-	gatherer.send(query, shard, index, carobthread.AttemptHedge)
+	gatherer.send(query, shard, index, kind)
+}
+
+// suspect reports whether an attempt in flight is at a searcher whose last outcome was bad, such as one re-admitted after an ejection.
+// A late reply from it is treated as a failure even while hedging is off.
+func (state *shardState) suspect() bool {
+	for _, attempt := range state.flights[:state.flying] {
+		if attempt.replica.searcher.ejection.Suspect() {
+			return true
+		}
+	}
+	return false
+}
+
+// pay takes an extra attempt of that kind from the budget.
+func (service *serviceRow) pay(kind carobthread.AttemptKind) bool {
+	if kind == carobthread.AttemptHedge {
+		return service.budget.TakeHedge()
+	}
+	return service.budget.TakeRetry(1)
 }
 
 // recover finds the next attempt for a shard that has none in flight, or moves the query, or closes the shard.
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -17,6 +17,8 @@
 	classAvoided
 	// classSaturated has no free slot; the attempt waits rather than going to an ejected replica.
 	classSaturated
+	// classMayHold last stated only older snapshots than the one asked for and may have loaded it since.
+	classMayHold
 	// classEjected is the last resort when every other replica is gone.
 	classEjected
 	classTried
@@ -36,7 +38,7 @@
 	costTie = 1.1
 )
 
-// choose returns the index of the replica for the next attempt at a shard and classLocal to classEjected, or -1 and the class of the best replica that cannot be used.
+// choose returns the index of the replica for the next attempt at a shard and its class, or -1 and the class of the best replica that cannot be used.
 func (gatherer *Gatherer) choose(query *queryRow, shard uint32) (int, class) {
 	row := &query.current.layout.shards[shard]
 	if !gatherer.inForce() {
@@ -98,6 +100,8 @@
 		return classSaturated
 	case searcher.ejection.Ejected(gatherer.now):
 		return classEjected
+	case query.current.bound && gatherer.heldKnown(searcher) && !slices.Contains(searcher.held, query.current.snapshot):
+		return classMayHold
 	case searcher.ejection.Avoided(gatherer.now):
 		return classAvoided
 	case searcher.local:
@@ -118,12 +122,18 @@
 	return searcher.users <= 1 || replica.inFlight < max(1, searcher.limit.Limit()-searcher.users+1)
 }
 
-// lacksSnapshot reports whether the searcher is known not to hold the snapshot.
+// lacksSnapshot reports whether the searcher has just refused or not listed the snapshot, or has replaced it by a newer one.
 func (gatherer *Gatherer) lacksSnapshot(searcher *searcherRow, snapshot uint64) bool {
 	if gatherer.now < searcher.lacksUntil && searcher.lacks == snapshot {
 		return true
 	}
-	return gatherer.heldKnown(searcher) && !slices.Contains(searcher.held, snapshot)
+	if !gatherer.heldKnown(searcher) || slices.Contains(searcher.held, snapshot) {
+		return false
+	}
+	if searcher.statedAt != 0 && gatherer.now.Sub(searcher.statedAt) < lacksAge {
+		return true
+	}
+	return len(searcher.held) > 0 && slices.Max(searcher.held) > snapshot
 }
 
 // heldKnown reports whether the held snapshots were stated recently and after the last pause.
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -8,6 +8,10 @@
 	"carobthread"
 )
 
+// waitMargin is the factor by which the estimated wait for a slot must fit into the time left.
+// With a factor of 1 or 2, an overload of 1.5 times the capacity makes one admitted query in a hundred miss shards at its deadline.
+const waitMargin = 4
+
 // arrive plans a query and sends the first attempts, or refuses it before any attempt is sent.
 func (gatherer *Gatherer) arrive(arrived *carobthread.QueryArrived) {
 	if gatherer.queries[arrived.Query] != nil {
@@ -70,7 +74,7 @@
 	for i := range plan.layout.shards {
 		row := &plan.layout.shards[i]
 		wait := time.Duration(len(row.waiting)) * service.latency.median / time.Duration(max(1, row.slots()))
-		if wait+service.latency.fast <= left {
+		if waitMargin*wait+service.latency.fast <= left {
 			inTime++
 		}
 	}
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -10,8 +10,8 @@
 const (
 	// hedgeRest is how long hedging stays off after an upstream has shed load.
 	hedgeRest = time.Second
-	// lacksAge is how long a refused snapshot or layout rules a replica out.
-	lacksAge = time.Second
+	// lacksAge is how long a refused snapshot or layout rules a replica out; both may be loaded at any time.
+	lacksAge = 100 * time.Millisecond
 )
 
 // reply takes the end of an attempt; it counts only for the attempt, query and shard that it names.
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -221,6 +221,9 @@
 	if slices.Equal(searcher.held, held) {
 		return false
 	}
-	searcher.held = slices.Clone(held)
+	searcher.held = append(searcher.held[:0], held...)
+	if slices.Contains(held, searcher.lacks) {
+		searcher.lacksUntil = 0
+	}
 	return true
 }
--- a/limiter/ejection.go
+++ b/limiter/ejection.go
@@ -68,6 +68,9 @@
 	return now < ejection.until && ejection.capped
 }
 
+// Suspect reports whether the last outcome was bad.
+func (ejection *Ejection) Suspect() bool { return ejection.bad > 0 }
+
 // Until returns when the ejection ends.
 func (ejection *Ejection) Until() carobthread.Instant { return ejection.until }
 
