Add bencher: the query path on virtual time

Cause: the policy of the gatherer had no measurement, so changes to it could not be compared.

Change: package bencher drives one real gatherer for each of four entry hosts against fakes of searchers, with the scenarios and faults of the design. A checker outside the core counts broken invariants. carobctl bench prints the current policy beside the wait-for-all baseline.

Two runs with the same seed print the same bytes.

--- /dev/null
+++ b/bencher/bencher_test.go
@@ -0,0 +1,30 @@
+package bencher_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"carobthread/bencher"
+)
+
+// TestSameSeedSameResults guards against draws or orders that differ from run to run.
+func TestSameSeedSameResults(t *testing.T) {
+	selection := bencher.Selection{
+		Scenarios: []string{"kerala-matching", "kerala-payments"},
+		Faults:    []string{"straggler,partition", "pause,index-roll"},
+	}
+	var printed [2]string
+	for i := range printed {
+		runs, err := selection.Runs(bencher.Policies())
+		assert.NilError(t, err)
+		for j := range runs {
+			runs[j].Scenario = runs[j].Scenario.Sample()
+		}
+		text, err := json.Marshal(bencher.ExecuteAll(runs))
+		assert.NilError(t, err)
+		printed[i] = string(text)
+	}
+	assert.Equal(t, printed[0], printed[1])
+}
--- /dev/null
+++ b/bencher/host.go
@@ -0,0 +1,192 @@
+package bencher
+
+import (
+	"time"
+
+	"carobthread"
+)
+
+// pool holds the connections of one host to one searcher.
+type pool struct {
+	open   int
+	busy   int
+	target int
+}
+
+// host performs the actions of one entry host's core and passes events to it.
+type entryHost struct {
+	simulation *simulation
+	name       string
+	dataCentre string
+	decider    carobthread.Decider
+	checker    *checker
+	// config is what the core has, latest what the host was last given.
+	config carobthread.Config
+	latest carobthread.Config
+	pools  map[string]*pool
+	jobs   map[carobthread.AttemptID]*job
+	paused bool
+	// ejected says that the balancer sends nothing to the host.
+	ejected bool
+	backlog []carobthread.Event
+}
+
+// deliver passes an event to the core, or keeps it while the process is paused.
+func (host *entryHost) deliver(event carobthread.Event) {
+	if host.paused {
+		host.backlog = append(host.backlog, event)
+		return
+	}
+	now := host.simulation.now
+	event.At = now
+	if event.Config != nil {
+		host.config = event.Config.Config
+	}
+	host.checker.event(now, &event)
+	actions := host.decider.Step(event)
+	for i := range actions {
+		host.checker.action(now, &actions[i])
+		host.perform(&actions[i])
+	}
+}
+
+func (host *entryHost) perform(action *carobthread.Action) {
+	switch {
+	case action.Send != nil:
+		host.send(action.Send)
+	case action.Cancel != nil:
+		host.cancel(action.Cancel)
+	case action.Answer != nil:
+		host.simulation.answered(host, action.Answer)
+	case action.Refuse != nil:
+		host.simulation.refused(host, action.Refuse)
+	case action.Connect != nil:
+		host.connect(action.Connect)
+	}
+}
+
+// send carries an attempt to its searcher, over a new connection when no open one is free.
+func (host *entryHost) send(send *carobthread.SendAttempt) {
+	searcher := host.simulation.searcherNamed[send.Searcher]
+	pool := host.pool(send.Searcher)
+	work := &job{host: host, send: *send, searcher: searcher, pool: pool}
+	host.jobs[send.Attempt] = work
+	delay := host.simulation.delay(host, searcher)
+	if pool.busy >= pool.open {
+		if searcher.connections >= searcher.config.Connections {
+			pool.busy++
+			host.simulation.after(0, func() { work.end(carobthread.ReplyFailed) })
+			return
+		}
+		pool.open++
+		searcher.connections++
+		delay += host.simulation.scenario.ConnectTime
+	}
+	pool.busy++
+	host.simulation.after(delay, func() {
+		if host.simulation.reachable(host, searcher) {
+			searcher.accept(work)
+		}
+	})
+}
+
+func (host *entryHost) pool(name string) *pool {
+	entry := host.pools[name]
+	if entry == nil {
+		entry = &pool{}
+		host.pools[name] = entry
+	}
+	return entry
+}
+
+// receive carries a reply back; rarely it arrives twice or names another query.
+func (host *entryHost) receive(work *job, reply *carobthread.ReplyArrived) {
+	simulation := host.simulation
+	simulation.after(simulation.delay(host, work.searcher), func() {
+		if !simulation.reachable(host, work.searcher) {
+			return
+		}
+		if simulation.noise.Float64() < misroutedShare {
+			wrong := *reply
+			wrong.Query += 1 + carobthread.QueryID(simulation.noise.IntN(3))
+			host.deliver(carobthread.Event{Reply: &wrong})
+		}
+		host.release(work)
+		host.deliver(carobthread.Event{Reply: reply})
+		if simulation.noise.Float64() < duplicateShare {
+			again := *reply
+			host.deliver(carobthread.Event{Reply: &again})
+		}
+	})
+}
+
+// release frees the connection of a job once.
+func (host *entryHost) release(work *job) {
+	if host.jobs[work.send.Attempt] != nil {
+		delete(host.jobs, work.send.Attempt)
+		work.pool.busy--
+	}
+}
+
+func (host *entryHost) cancel(cancel *carobthread.CancelAttempt) {
+	work := host.jobs[cancel.Attempt]
+	if work == nil {
+		return
+	}
+	host.release(work)
+	searcher := work.searcher
+	host.simulation.after(host.simulation.delay(host, searcher), func() {
+		if !work.ended && host.simulation.reachable(host, searcher) {
+			searcher.cancel(work)
+		}
+	})
+}
+
+// connect opens connections in advance, or closes idle ones.
+func (host *entryHost) connect(set *carobthread.SetConnections) {
+	pool := host.pool(set.Searcher)
+	pool.target = set.Count
+	searcher := host.simulation.searcherNamed[set.Searcher]
+	if searcher == nil {
+		return
+	}
+	host.simulation.after(host.simulation.scenario.ConnectTime, func() { host.adjust(searcher, pool) })
+}
+
+func (host *entryHost) adjust(searcher *searcher, pool *pool) {
+	if !host.simulation.reachable(host, searcher) || searcher.reset || searcher.silent {
+		return
+	}
+	for pool.open < pool.target && searcher.connections < searcher.config.Connections {
+		pool.open++
+		searcher.connections++
+	}
+	for pool.open > pool.target && pool.open > pool.busy {
+		pool.open--
+		searcher.connections--
+	}
+}
+
+// dropConnections forgets connections that the searcher's end has closed.
+func (host *entryHost) dropConnections(searcher *searcher) {
+	pool := host.pool(searcher.config.Name)
+	searcher.connections -= pool.open
+	pool.open = 0
+}
+
+// resume passes the events that came during a pause; the late tick comes before or after them.
+func (host *entryHost) resume(late time.Duration, tickFirst bool) {
+	host.paused = false
+	tick := carobthread.Event{Tick: &carobthread.Ticked{LateMicros: late.Microseconds()}}
+	if tickFirst {
+		host.deliver(tick)
+	}
+	backlog := host.backlog
+	host.backlog = nil
+	for _, event := range backlog {
+		host.deliver(event)
+	}
+	if !tickFirst {
+		host.deliver(tick)
+	}
+}
--- /dev/null
+++ b/bencher/scenario.go
@@ -0,0 +1,162 @@
+package bencher
+
+import (
+	"math"
+	"time"
+
+	"carobthread"
+)
+
+// Service times of the fake searchers follow a lognormal distribution.
+const (
+	medianServiceTime = 4 * time.Millisecond
+	serviceTimeSigma  = 0.3 // standard deviation of the logarithm
+)
+
+// Deadlines of the services, from the moment a request should have started.
+const (
+	softDeadline  = 140 * time.Millisecond // leaves 20 ms of the 160 ms target for the way to the caller
+	hardDeadline  = 300 * time.Millisecond
+	coverageFloor = 0.9
+	hedgeQuantile = 0.95
+	extraShare    = 0.05
+)
+
+const (
+	loadShare       = 0.5 // arrivals as a share of capacity
+	overloadFactor  = 4   // raises half of capacity to twice the capacity
+	localDelay      = 100 * time.Microsecond
+	searcherQueue   = 32 // requests that a searcher keeps waiting before it sheds
+	serviceName     = "search"
+	firstSnapshot   = uint64(1)
+	firstLayout     = uint32(1)
+	tickPeriod      = time.Millisecond
+	sampleTick      = 25 * time.Millisecond
+	replicasOfShard = 3
+)
+
+// Scenario is the size and the network of one workload; delays are one way.
+type Scenario struct {
+	Name string `json:"name"`
+	// Execute marks requests that may not be repeated: one shard, served by any of Searchers.
+	Execute     bool                   `json:"execute"`
+	Shards      int                    `json:"shards"`
+	Searchers   int                    `json:"searchers"`
+	Slots       int                    `json:"slots"`
+	Connections int                    `json:"connections"`
+	ConnectTime time.Duration          `json:"connect-time"`
+	CentreDelay time.Duration          `json:"centre-delay"`
+	ClientDelay time.Duration          `json:"client-delay"`
+	Preference  carobthread.Preference `json:"preference"`
+	// WarmUp passes before queries are measured, Measured is the time of measured arrivals.
+	WarmUp   time.Duration `json:"warm-up"`
+	Measured time.Duration `json:"measured"`
+	// FaultSpan is how long a fault with an end lasts.
+	FaultSpan time.Duration `json:"fault-span"`
+	// Rate replaces the arrivals a second if it is not 0.
+	Rate float64       `json:"rate,omitempty"`
+	Tick time.Duration `json:"tick"`
+}
+
+// Scenarios returns all scenarios in the order of the report.
+func Scenarios() []Scenario {
+	kerala := Scenario{CentreDelay: 1500 * time.Microsecond, ClientDelay: 3 * time.Millisecond}
+	greece := Scenario{CentreDelay: 500 * time.Microsecond, ClientDelay: time.Millisecond}
+	target := fanOut(greece, "target-fan-out", 120, carobthread.LatencyFirst)
+	target.WarmUp, target.Measured, target.FaultSpan = time.Second, 6*time.Second, 4*time.Second
+	return []Scenario{
+		fanOut(kerala, "kerala-matching", 10, carobthread.LatencyFirst),
+		fanOut(kerala, "kerala-roster", 15, carobthread.LatencyFirst),
+		single(kerala, "kerala-bookings", 20, 3, 100),
+		single(kerala, "kerala-payments", 10, 3, 100),
+		fanOut(greece, "greece-fair-search", 10, carobthread.CoverageFirst),
+		fanOut(greece, "greece-portal", 15, carobthread.LatencyFirst),
+		single(greece, "greece-registrar", 30, 2, 35),
+		single(greece, "greece-results", 15, 2, 35),
+		target,
+	}
+}
+
+// FindScenario returns the scenario of that name.
+func FindScenario(name string) (Scenario, bool) {
+	for _, scenario := range Scenarios() {
+		if scenario.Name == name {
+			return scenario, true
+		}
+	}
+	return Scenario{}, false
+}
+
+func fanOut(base Scenario, name string, shards int, preference carobthread.Preference) Scenario {
+	base.Name = name
+	base.Shards = shards
+	base.Searchers = shards * replicasOfShard
+	base.Slots = 3
+	base.Connections = 30
+	base.ConnectTime = 6 * time.Millisecond
+	base.Preference = preference
+	return withTimes(base)
+}
+
+func single(base Scenario, name string, searchers, slots, connections int) Scenario {
+	base.Name = name
+	base.Execute = true
+	base.Shards = 1
+	base.Searchers = searchers
+	base.Slots = slots
+	base.Connections = connections
+	base.ConnectTime = time.Millisecond
+	base.Preference = carobthread.CoverageFirst
+	return withTimes(base)
+}
+
+func withTimes(base Scenario) Scenario {
+	base.WarmUp = 2 * time.Second
+	base.Measured = 10 * time.Second
+	base.FaultSpan = 6 * time.Second
+	base.Tick = tickPeriod
+	return base
+}
+
+// Sample returns a scenario of 3 shards and few queries, small enough to record it.
+func (scenario Scenario) Sample() Scenario {
+	if !scenario.Execute {
+		scenario.Shards = 3
+		scenario.Searchers = scenario.Shards * replicasOfShard
+	}
+	scenario.WarmUp = 200 * time.Millisecond
+	scenario.Measured = 2500 * time.Millisecond
+	scenario.FaultSpan = 1500 * time.Millisecond
+	scenario.Rate = 12
+	scenario.Tick = sampleTick
+	return scenario
+}
+
+// rate returns arrivals a second at half of capacity.
+func (scenario Scenario) rate() float64 {
+	if scenario.Rate > 0 {
+		return scenario.Rate
+	}
+	mean := medianServiceTime.Seconds() * math.Exp(serviceTimeSigma*serviceTimeSigma/2)
+	slots := float64(scenario.Slots * scenario.Searchers / scenario.Shards)
+	return loadShare * slots / mean
+}
+
+// service returns the configuration of the scenario's service.
+func (scenario Scenario) service() carobthread.Service {
+	service := carobthread.Service{
+		Name:          serviceName,
+		Kind:          carobthread.KindSearch,
+		Preference:    scenario.Preference,
+		SoftDeadline:  softDeadline,
+		HardDeadline:  hardDeadline,
+		CoverageFloor: coverageFloor,
+		HedgeQuantile: hedgeQuantile,
+		ExtraShare:    extraShare,
+		Layout:        firstLayout,
+	}
+	if scenario.Execute {
+		service.HedgeQuantile, service.ExtraShare = 0, 0
+	}
+	return service
+}
--- /dev/null
+++ b/bencher/selection.go
@@ -0,0 +1,102 @@
+package bencher
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Selection names what to run; an empty list takes the default.
+type Selection struct {
+	// Scenarios defaults to all scenarios.
+	Scenarios []string
+	// Faults holds comma-separated lists and defaults to no fault and each single fault.
+	Faults []string
+	// Seeds defaults to the seed 1.
+	Seeds []uint64
+}
+
+// Runs returns the runs of the selection, the policies of one scenario, fault and seed next to each other.
+func (selection Selection) Runs(policies []Policy) ([]Run, error) {
+	scenarios, err := selection.scenarios()
+	if err != nil {
+		return nil, err
+	}
+	faults, err := selection.faults()
+	if err != nil {
+		return nil, err
+	}
+	seeds := selection.Seeds
+	if len(seeds) == 0 {
+		seeds = []uint64{1}
+	}
+	runs := []Run{}
+	for _, scenario := range scenarios {
+		for _, combined := range faults {
+			for _, seed := range seeds {
+				for _, policy := range policies {
+					runs = append(runs, Run{Scenario: scenario, Faults: combined, Policy: policy, Seed: seed})
+				}
+			}
+		}
+	}
+	return runs, nil
+}
+
+func (selection Selection) scenarios() ([]Scenario, error) {
+	if len(selection.Scenarios) == 0 {
+		return Scenarios(), nil
+	}
+	scenarios := []Scenario{}
+	for _, name := range selection.Scenarios {
+		scenario, known := FindScenario(name)
+		if !known {
+			return nil, fmt.Errorf("unknown scenario %q", name)
+		}
+		scenarios = append(scenarios, scenario)
+	}
+	return scenarios, nil
+}
+
+func (selection Selection) faults() ([][]Fault, error) {
+	if len(selection.Faults) == 0 {
+		return append([][]Fault{nil}, SingleFaults()...), nil
+	}
+	lists := [][]Fault{}
+	for _, text := range selection.Faults {
+		faults, err := ParseFaults(text)
+		if err != nil {
+			return nil, err
+		}
+		lists = append(lists, faults)
+	}
+	return lists, nil
+}
+
+// SingleFaults returns one list for each fault.
+func SingleFaults() [][]Fault {
+	lists := [][]Fault{}
+	for _, fault := range Faults() {
+		lists = append(lists, []Fault{fault})
+	}
+	return lists
+}
+
+// WriteList prints the names of all scenarios and faults.
+func WriteList(out io.Writer) error {
+	var text strings.Builder
+	for _, scenario := range Scenarios() {
+		fmt.Fprintf(&text, "scenario\t%s\t%d shards, %d searchers, %.0f requests/s\n",
+			scenario.Name, scenario.Shards, scenario.Searchers, scenario.rate())
+	}
+	fmt.Fprintf(&text, "fault\t%s\tno fault\n", NoFault)
+	for _, fault := range Faults() {
+		fmt.Fprintf(&text, "fault\t%s\t%s\n", fault.Name, fault.Summary)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(table, text.String()); err != nil {
+		return fmt.Errorf("print list: %w", err)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/cmd/carobctl/bench.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"carobthread/bencher"
+)
+
+// benchCommand measures the query path on virtual time.
+type benchCommand struct {
+	Scenario []string `long:"scenario" value-name:"NAME" description:"scenario to run; may be repeated (default: all)"`
+	Fault    []string `long:"fault" value-name:"NAME[,NAME]" description:"faults to combine; may be repeated (default: none and each single fault)"`
+	Seed     []uint64 `long:"seed" value-name:"N" description:"seed of a run; may be repeated (default: 1)"`
+	JSON     bool     `long:"json" description:"print results as JSON lines"`
+	List     bool     `long:"list" description:"list scenarios and faults"`
+}
+
+// Execute runs the command.
+func (command *benchCommand) Execute(arguments []string) error {
+	if len(arguments) > 0 {
+		return &usageError{fmt.Errorf("bench takes no arguments, got %q", arguments)}
+	}
+	if command.List {
+		return bencher.WriteList(os.Stdout)
+	}
+	selection := bencher.Selection{Scenarios: command.Scenario, Faults: command.Fault, Seeds: command.Seed}
+	runs, err := selection.Runs(bencher.Policies())
+	if err != nil {
+		return &usageError{err}
+	}
+	results := bencher.ExecuteAll(runs)
+	if command.JSON {
+		return writeJSONLines(results)
+	}
+	return bencher.WriteTable(os.Stdout, results)
+}
+
+func writeJSONLines(results []*bencher.Result) error {
+	encoder := json.NewEncoder(os.Stdout)
+	for _, result := range results {
+		if err := encoder.Encode(result); err != nil {
+			return fmt.Errorf("print result: %w", err)
+		}
+	}
+	return nil
+}
--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -11,5 +11,7 @@
 
 // commands lists the subcommands; each one stands in a file of its own.
 func commands() []command {
-	return []command{}
+	return []command{
+		{name: "bench", short: "measure the query path on virtual time", runner: &benchCommand{}},
+	}
 }
