--- /dev/null
+++ b/bencher/bound.go
@@ -0,0 +1,138 @@
+package bencher
+
+import (
+	_ "embed"
+	"fmt"
+	"slices"
+
+	"gopkg.in/ini.v1"
+)
+
+//go:embed bounds.ini
+var embeddedBounds []byte //nolint:gochecknoglobals // go:embed needs a package variable
+
+// Selectors that stand for several scenarios or faults.
+const (
+	allScenarios = "all"
+	singleFault  = "single"
+	anyFault     = "any"
+)
+
+// Bound limits the figures of the current policy in some scenarios under some faults.
+type Bound struct {
+	Name      string
+	Scenarios []string
+	Faults    []string
+	Limits    []Limit
+}
+
+// Limit is the greatest value that a measure may have.
+type Limit struct {
+	Measure string
+	Value   float64
+}
+
+// Bounds is the content of a bounds file.
+type Bounds struct {
+	Seeds  []uint64
+	Bounds []Bound
+}
+
+// measures maps the keys of a bounds file to figures; a baseline is absent when no bound compares with it.
+func measures() map[string]func(result, baseline *Result) float64 {
+	return map[string]func(result, baseline *Result) float64{
+		"p99-ms":      func(result, _ *Result) float64 { return float64(result.P99Micros) / 1000 },
+		"extra-share": func(result, _ *Result) float64 { return result.ExtraShare },
+		"avoidable-partial": func(result, _ *Result) float64 {
+			return float64(result.AvoidablePartial)
+		},
+		"broken": func(result, _ *Result) float64 { return float64(result.BrokenTotal) },
+		p99ToBaseline: func(result, baseline *Result) float64 {
+			return float64(result.P99Micros) / float64(max(1, baseline.P99Micros))
+		},
+	}
+}
+
+// p99ToBaseline is the measure that needs a run of the wait-for-all baseline.
+const p99ToBaseline = "p99-to-baseline"
+
+// StatedBounds returns the bounds that come from the design's targets.
+func StatedBounds() (*Bounds, error) { return ParseBounds(embeddedBounds) }
+
+// ParseBounds reads a bounds file.
+func ParseBounds(content []byte) (*Bounds, error) {
+	file, err := ini.Load(content)
+	if err != nil {
+		return nil, fmt.Errorf("parse bounds: %w", err)
+	}
+	bounds := &Bounds{}
+	for _, section := range file.Sections() {
+		switch section.Name() {
+		case ini.DefaultSection:
+		case "check":
+			bounds.Seeds = section.Key("seeds").Uint64s(",")
+		default:
+			bound, err := parseBound(section)
+			if err != nil {
+				return nil, err
+			}
+			bounds.Bounds = append(bounds.Bounds, bound)
+		}
+	}
+	if len(bounds.Seeds) == 0 {
+		return nil, fmt.Errorf("parse bounds: section check: no seeds")
+	}
+	return bounds, nil
+}
+
+func parseBound(section *ini.Section) (Bound, error) {
+	bound := Bound{Name: section.Name()}
+	for _, key := range section.Keys() {
+		switch name := key.Name(); {
+		case name == "scenarios":
+			bound.Scenarios = key.Strings(",")
+		case name == "faults":
+			bound.Faults = key.Strings(",")
+		case measures()[name] == nil:
+			return bound, fmt.Errorf("parse bounds: section %s: unknown key %q", bound.Name, name)
+		default:
+			value, err := key.Float64()
+			if err != nil {
+				return bound, fmt.Errorf("parse bounds: section %s: key %s: %w", bound.Name, name, err)
+			}
+			bound.Limits = append(bound.Limits, Limit{Measure: name, Value: value})
+		}
+	}
+	return bound, bound.validate()
+}
+
+// validate reports a name that no run can match, since its bound would never be checked.
+func (bound *Bound) validate() error {
+	for _, name := range bound.Scenarios {
+		if _, known := FindScenario(name); !known && name != allScenarios {
+			return fmt.Errorf("parse bounds: section %s: unknown scenario %q", bound.Name, name)
+		}
+	}
+	for _, name := range bound.Faults {
+		if name == singleFault || name == anyFault {
+			continue
+		}
+		if _, err := ParseFaults(name); err != nil {
+			return fmt.Errorf("parse bounds: section %s: %w", bound.Name, err)
+		}
+	}
+	if len(bound.Scenarios) == 0 || len(bound.Faults) == 0 || len(bound.Limits) == 0 {
+		return fmt.Errorf("parse bounds: section %s: scenarios, faults and a limit are required", bound.Name)
+	}
+	return nil
+}
+
+// covers reports whether the bound holds for a scenario under faults.
+func (bound *Bound) covers(scenario string, faults []Fault) bool {
+	if !slices.Contains(bound.Scenarios, allScenarios) && !slices.Contains(bound.Scenarios, scenario) {
+		return false
+	}
+	return slices.ContainsFunc(bound.Faults, func(name string) bool {
+		return name == anyFault || name == singleFault && len(faults) == 1 || name == FaultNames(faults)
+	})
+}
--- /dev/null
+++ b/bencher/check.go
@@ -0,0 +1,139 @@
+package bencher
+
+import "fmt"
+
+// pairScenario is the scenario in which the check combines each fault with each other one.
+const pairScenario = "kerala-matching"
+
+// Breach is a figure beyond its bound.
+type Breach struct {
+	Bound    string  `json:"bound"`
+	Scenario string  `json:"scenario"`
+	Fault    string  `json:"fault"`
+	Seed     uint64  `json:"seed"`
+	Measure  string  `json:"measure"`
+	Figure   float64 `json:"figure"`
+	Limit    float64 `json:"limit"`
+	// Detail names the broken invariants, if the bound counts them.
+	Detail  string `json:"detail,omitempty"`
+	Command string `json:"command"`
+}
+
+// String formats the breach with the command that repeats it.
+func (breach Breach) String() string {
+	text := fmt.Sprintf("%s: %s, fault %s, seed %d: %s is %.4g, limit %.4g",
+		breach.Bound, breach.Scenario, breach.Fault, breach.Seed, breach.Measure, breach.Figure, breach.Limit)
+	if breach.Detail != "" {
+		text += " (" + breach.Detail + ")"
+	}
+	return text + "\n  " + breach.Command
+}
+
+// Checked is the outcome of a check.
+type Checked struct {
+	Runs     int
+	Compared int
+	Breaches []Breach
+}
+
+// Check runs the selection and compares its figures with the bounds.
+// Without faults in the selection it takes no fault, each single fault, and in one scenario each pair.
+func Check(selection Selection, bounds *Bounds) (*Checked, error) {
+	if len(selection.Seeds) == 0 {
+		selection.Seeds = bounds.Seeds
+	}
+	current, baseline := Policies()[0], Policies()[1]
+	runs, err := selection.Runs([]Policy{current})
+	if err != nil {
+		return nil, err
+	}
+	if len(selection.Faults) == 0 {
+		runs = append(runs, pairRuns(runs, current)...)
+	}
+	baselineOf := map[int]int{}
+	for i, run := range runs[:len(runs):len(runs)] {
+		if bounds.needBaseline(run) {
+			baselineOf[i] = len(runs)
+			run.Policy = baseline
+			runs = append(runs, run)
+		}
+	}
+	results := ExecuteAll(runs)
+	checked := &Checked{Runs: len(runs)}
+	for i, run := range runs {
+		if run.Policy.Name != current.Name {
+			continue
+		}
+		var compared *Result
+		if at, known := baselineOf[i]; known {
+			compared = results[at]
+		}
+		checked.compare(bounds, run, results[i], compared)
+	}
+	return checked, nil
+}
+
+// pairRuns returns one run for each pair of faults in the pair scenario if the runs contain it.
+func pairRuns(runs []Run, policy Policy) []Run {
+	pairs := []Run{}
+	for _, run := range runs {
+		if run.Scenario.Name != pairScenario || len(run.Faults) > 0 {
+			continue
+		}
+		faults := Faults()
+		for i := range faults {
+			for j := range i {
+				pairs = append(pairs, Run{Scenario: run.Scenario, Faults: []Fault{faults[j], faults[i]}, Policy: policy, Seed: run.Seed})
+			}
+		}
+	}
+	return pairs
+}
+
+func (bounds *Bounds) needBaseline(run Run) bool {
+	for _, bound := range bounds.Bounds {
+		if !bound.covers(run.Scenario.Name, run.Faults) {
+			continue
+		}
+		for _, limit := range bound.Limits {
+			if limit.Measure == p99ToBaseline {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (checked *Checked) compare(bounds *Bounds, run Run, result, baseline *Result) {
+	for _, bound := range bounds.Bounds {
+		if !bound.covers(run.Scenario.Name, run.Faults) {
+			continue
+		}
+		for _, limit := range bound.Limits {
+			checked.Compared++
+			figure := measures()[limit.Measure](result, baseline)
+			if figure <= limit.Value {
+				continue
+			}
+			breach := Breach{
+				Bound:    bound.Name,
+				Scenario: result.Scenario,
+				Fault:    result.Fault,
+				Seed:     result.Seed,
+				Measure:  limit.Measure,
+				Figure:   figure,
+				Limit:    limit.Value,
+				Command:  repeatCommand(result),
+			}
+			if limit.Measure == "broken" {
+				breach.Detail = brokenText(result)
+			}
+			checked.Breaches = append(checked.Breaches, breach)
+		}
+	}
+}
+
+func repeatCommand(result *Result) string {
+	return fmt.Sprintf("go run ./cmd/carobctl bench --check --scenario %s --fault %s --seed %d",
+		result.Scenario, result.Fault, result.Seed)
+}
--- a/cmd/carobctl/bench.go
+++ b/cmd/carobctl/bench.go
@@ -13,6 +13,7 @@
 	Scenario []string `long:"scenario" value-name:"NAME" description:"scenario to run; may be repeated (default: all)"`
 	Fault    []string `long:"fault" value-name:"NAME[,NAME]" description:"faults to combine; may be repeated (default: none and each single fault)"`
 	Seed     []uint64 `long:"seed" value-name:"N" description:"seed of a run; may be repeated (default: 1)"`
+	Check    bool     `long:"check" description:"compare with the stated bounds; exit with 1 if one is broken"`
 	JSON     bool     `long:"json" description:"print results as JSON lines"`
 	List     bool     `long:"list" description:"list scenarios and faults"`
 }
@@ -26,6 +27,9 @@
 		return bencher.WriteList(os.Stdout)
 	}
 	selection := bencher.Selection{Scenarios: command.Scenario, Faults: command.Fault, Seeds: command.Seed}
+	if command.Check {
+		return command.check(selection)
+	}
 	runs, err := selection.Runs(bencher.Policies())
 	if err != nil {
 		return &usageError{err}
@@ -37,10 +41,35 @@
 	return bencher.WriteTable(os.Stdout, results)
 }
 
-func writeJSONLines(results []*bencher.Result) error {
+func (command *benchCommand) check(selection bencher.Selection) error {
+	bounds, err := bencher.StatedBounds()
+	if err != nil {
+		return err
+	}
+	checked, err := bencher.Check(selection, bounds)
+	if err != nil {
+		return &usageError{err}
+	}
+	if command.JSON {
+		if err := writeJSONLines(checked.Breaches); err != nil {
+			return err
+		}
+	} else {
+		for _, breach := range checked.Breaches {
+			fmt.Println(breach)
+		}
+		fmt.Printf("%d runs, %d comparisons, %d bounds broken\n", checked.Runs, checked.Compared, len(checked.Breaches))
+	}
+	if len(checked.Breaches) > 0 {
+		return fmt.Errorf("%d bounds broken", len(checked.Breaches))
+	}
+	return nil
+}
+
+func writeJSONLines[T any](items []T) error {
 	encoder := json.NewEncoder(os.Stdout)
-	for _, result := range results {
-		if err := encoder.Encode(result); err != nil {
+	for _, item := range items {
+		if err := encoder.Encode(item); err != nil {
 			return fmt.Errorf("print result: %w", err)
 		}
 	}
