Compare with the first policy and speed up the check

The first policy joins the baselines. A partial answer counts as avoidable only if its host ran for at least four medians between the query's arrival and its deadline.

--- a/bencher/batch.go
+++ b/bencher/batch.go
@@ -1,12 +1,19 @@
 package bencher
 
 import (
+	"cmp"
 	"runtime"
+	"runtime/debug"
+	"slices"
 	"sync"
 )
 
+// batchGCPercent makes the collector run less often, since a run keeps little memory and allocates much.
+const batchGCPercent = 400
+
 // ExecuteAll performs runs in parallel and returns their results in the order of the runs.
 func ExecuteAll(runs []Run) []*Result {
+	defer debug.SetGCPercent(debug.SetGCPercent(batchGCPercent))
 	results := make([]*Result, len(runs))
 	next := make(chan int)
 	var workers sync.WaitGroup
@@ -17,10 +24,33 @@
 			}
 		})
 	}
-	for i := range runs {
+	for _, i := range longestFirst(runs) {
 		next <- i
 	}
 	close(next)
 	workers.Wait()
 	return results
 }
+
+// longestFirst orders runs so that no long one starts when the others are done.
+func longestFirst(runs []Run) []int {
+	order := make([]int, len(runs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(one, other int) int {
+		return cmp.Compare(runs[other].attempts(), runs[one].attempts())
+	})
+	return order
+}
+
+// attempts estimates the number of attempts of a run.
+func (run Run) attempts() float64 {
+	seconds := (run.Scenario.WarmUp + run.Scenario.Measured).Seconds()
+	for _, fault := range run.Faults {
+		if fault.Name == "overload" {
+			seconds += (overloadFactor - 1) * run.Scenario.FaultSpan.Seconds()
+		}
+	}
+	return seconds * run.Scenario.rate() * float64(run.Scenario.Shards)
+}
--- a/bencher/bound.go
+++ b/bencher/bound.go
@@ -46,7 +46,8 @@
 		"avoidable-partial": func(result, _ *Result) float64 {
 			return float64(result.AvoidablePartial)
 		},
-		"broken": func(result, _ *Result) float64 { return float64(result.BrokenTotal) },
+		"refusals": func(result, _ *Result) float64 { return float64(result.Refusals) },
+		"broken":   func(result, _ *Result) float64 { return float64(result.BrokenTotal) },
 		p99ToBaseline: func(result, baseline *Result) float64 {
 			return float64(result.P99Micros) / float64(max(1, baseline.P99Micros))
 		},
--- a/bencher/fault.go
+++ b/bencher/fault.go
@@ -211,10 +211,10 @@
 	tickFirst := injection.random.IntN(2) == 0
 	stopped := injection.moment(0)
 	resumed := injection.moment(1.0 / 3)
-	simulation.at(stopped, func() { host.paused = true })
+	simulation.at(stopped, host.pause)
 	simulation.at(stopped.Add(balancerLag), func() { host.ejected = true })
 	simulation.at(stopped.Add(viewLag), func() { simulation.suspect(host) })
-	simulation.at(resumed, func() { host.resume(resumed.Sub(stopped), tickFirst) })
+	simulation.at(resumed, func() { host.resume(tickFirst) })
 	simulation.at(resumed.Add(balancerLag), func() { host.ejected = false })
 	simulation.at(resumed.Add(viewLag), func() { simulation.suspect() })
 }
--- a/bencher/host.go
+++ b/bencher/host.go
@@ -21,11 +21,13 @@
 	decider    carobthread.Decider
 	checker    *checker
 	// config is what the core has, latest what the host was last given.
-	config carobthread.Config
-	latest carobthread.Config
-	pools  map[string]*pool
-	jobs   map[carobthread.AttemptID]*job
-	paused bool
+	config    carobthread.Config
+	latest    carobthread.Config
+	pools     map[string]*pool
+	jobs      map[carobthread.AttemptID]*job
+	paused    bool
+	pausedAt  carobthread.Instant
+	pausedSum time.Duration // of the pauses that have ended
 	// ejected says that the balancer sends nothing to the host.
 	ejected bool
 	backlog []carobthread.Event
@@ -174,8 +176,24 @@
 	pool.open = 0
 }
 
+// pause stops the process until it is resumed.
+func (host *entryHost) pause() {
+	host.paused = true
+	host.pausedAt = host.simulation.now
+}
+
+// pausedFor is how long the process has been paused in all.
+func (host *entryHost) pausedFor() time.Duration {
+	if host.paused {
+		return host.pausedSum + host.simulation.now.Sub(host.pausedAt)
+	}
+	return host.pausedSum
+}
+
 // resume passes the events that came during a pause; the late tick comes before or after them.
-func (host *entryHost) resume(late time.Duration, tickFirst bool) {
+func (host *entryHost) resume(tickFirst bool) {
+	late := host.simulation.now.Sub(host.pausedAt)
+	host.pausedSum += late
 	host.paused = false
 	tick := carobthread.Event{Tick: &carobthread.Ticked{LateMicros: late.Microseconds()}}
 	if tickFirst {
--- a/bencher/simulation.go
+++ b/bencher/simulation.go
@@ -43,6 +43,7 @@
 	return []Policy{
 		{Name: "current"},
 		{Name: "wait-for-all", Options: gatherer.Options{RandomReplica: true}, WaitForAll: true},
+		{Name: "first", Options: gatherer.Options{FirstPolicy: true}},
 	}
 }
 
@@ -80,6 +81,8 @@
 	started  carobthread.Instant
 	arrived  carobthread.Instant
 	measured bool
+	// pausedBefore is how long the host had been paused in all when the query arrived.
+	pausedBefore time.Duration
 }
 
 func dataCentres() []string { return []string{"dc-a", "dc-b", "dc-c"} }
@@ -284,6 +287,7 @@
 	gone := simulation.arrivals.Float64() < goneShare
 	simulation.after(simulation.scenario.ClientDelay, func() {
 		query.arrived = simulation.now
+		query.pausedBefore = host.pausedFor()
 		host.deliver(carobthread.Event{Query: &carobthread.QueryArrived{
 			Query:    id,
 			Service:  serviceName,
@@ -347,8 +351,12 @@
 }
 
 // coverable reports whether, from the query's arrival on, every shard had a live and reachable replica
-// that held one snapshot, the same for all shards.
+// that held one snapshot, the same for all shards, and the host ran for at least four medians before the deadline.
 func (simulation *simulation) coverable(host *entryHost, query *openQuery) bool {
+	deadline := query.started.Add(hardDeadline)
+	if deadline.Sub(query.arrived)-(host.pausedFor()-query.pausedBefore) < 4*medianServiceTime {
+		return false
+	}
 	for i := range host.config.Layouts {
 		layout := &host.config.Layouts[i]
 		for snapshot := firstSnapshot; snapshot <= lastSnapshot; snapshot++ {
