Keep settling cheap while many tickets are staged

Change: a row keeps its references and section size while it is staged, a ticket asks first for the object that it lacked last, and the staged tickets are kept in order instead of being sorted each time.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -29,7 +29,7 @@
 	StagedBytes int `json:"staged-bytes"`
 }
 
-// row is one object, in force or staged; it is never changed once stored.
+// row is one object, in force or staged.
 type row struct {
 	object carobthread.Object
 	// list holds the ids of the ticket's objects and is shared by the rows of a ticket.
@@ -39,6 +39,9 @@
 	size   int
 	source string
 	at     carobthread.Instant
+	// needs and section are the references and the section's bytes, which each settling asks for; in force they are dropped.
+	needs   []carobthread.ObjectID
+	section int
 }
 
 // Applier holds the configuration in force and the staged tickets; it is not safe for concurrent use.
@@ -48,8 +51,10 @@
 	lists       *listTable
 	staged      map[uint64]*stagedTicket
 	stagedBytes int
-	// waiting names the staged tickets of each object.
-	waiting   map[carobthread.ObjectID][]uint64
+	// order holds the staged tickets, lowest number first.
+	order []*stagedTicket
+	// waiting holds the staged tickets that have arrived with each object.
+	waiting   map[carobthread.ObjectID][]*stagedTicket
 	digest    digestTable
 	highest   uint64
 	config    *carobthread.Config
@@ -69,7 +74,7 @@
 		held:    map[carobthread.ObjectID]*row{},
 		lists:   newListTable(),
 		staged:  map[uint64]*stagedTicket{},
-		waiting: map[carobthread.ObjectID][]uint64{},
+		waiting: map[carobthread.ObjectID][]*stagedTicket{},
 	}
 }
 
@@ -121,6 +126,9 @@
 		size:   len(canonical) + rowOverhead,
 		source: source,
 		at:     now,
+
+		needs:   parser.References(&published.Object),
+		section: parser.SectionSize(&published.Object),
 	}
 	id, number := arrived.object.ID, arrived.object.Ticket
 	known := applier.known(id, number)
@@ -171,6 +179,7 @@
 		applier.lists.release(current.object.Ticket)
 	}
 	applier.lists.retain(arrived.object.Ticket, arrived.list)
+	arrived.needs = nil
 	applier.held[id] = arrived
 	applier.digest.add(id, arrived.hash)
 	applier.highest = max(applier.highest, arrived.object.Ticket)
--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -269,6 +269,26 @@
 	}
 }
 
+// Guards against a start whose cost grows with the square of the objects: the snapshot comes in 320 pieces, and each
+// ticket lists two objects that are far apart, so that half of the snapshot waits for the other half.
+func BenchmarkSnapshotOf32000Objects(b *testing.B) {
+	running := applier.New(applier.Options{})
+	for i := range 16_000 {
+		arrive(running, uint64(i+1), []carobthread.ObjectID{
+			parser.SearcherID(fmt.Sprintf("s-%05d", i)), parser.SearcherID(fmt.Sprintf("s-%05d", i+16_000)),
+		})
+	}
+	snapshot := running.Objects(running.IDs())
+	b.ReportAllocs()
+	for b.Loop() {
+		starting := applier.New(applier.Options{})
+		for piece := range slices.Chunk(snapshot, 100) {
+			starting.Step(applier.Event{Arrived: &applier.Arrived{Source: "bench", Values: piece}})
+		}
+		assert.Equal(b, starting.Root(), running.Root())
+	}
+}
+
 func arrive(host *applier.Applier, number uint64, ids []carobthread.ObjectID) {
 	ticket := makeTicket(number, ids, false)
 	batch := &applier.Arrived{Source: "bench"}
--- a/applier/stage.go
+++ b/applier/stage.go
@@ -36,8 +36,14 @@
 	since  carobthread.Instant
 	// findings are those last reported.
 	findings carobthread.Findings
+	// member says that the ticket is in the set that largest is looking for.
+	member bool
+	// gap is the listed object that last kept the ticket waiting, which is asked for first.
+	gap carobthread.ObjectID
 }
 
+func byNumber(ticket *stagedTicket, number uint64) int { return cmp.Compare(ticket.number, number) }
+
 // stage stores a row that is neither in force nor staged.
 func (applier *Applier) stage(now carobthread.Instant, arrived *row) {
 	id, number := arrived.object.ID, arrived.object.Ticket
@@ -52,104 +58,93 @@
 			since:  now,
 		}
 		applier.staged[number] = ticket
+		at, _ := slices.BinarySearchFunc(applier.order, number, byNumber)
+		applier.order = slices.Insert(applier.order, at, ticket)
 	}
 	ticket.rows[id] = arrived
 	applier.stagedBytes += arrived.size
-	applier.waiting[id] = append(applier.waiting[id], number)
+	applier.waiting[id] = append(applier.waiting[id], ticket)
 }
 
 // unstage removes a ticket and its rows.
 func (applier *Applier) unstage(ticket *stagedTicket) {
 	for id, staged := range ticket.rows {
-		numbers := applier.waiting[id]
-		numbers = slices.DeleteFunc(numbers, func(number uint64) bool { return number == ticket.number })
-		if len(numbers) == 0 {
+		others := slices.DeleteFunc(applier.waiting[id], func(other *stagedTicket) bool { return other == ticket })
+		if len(others) == 0 {
 			delete(applier.waiting, id)
 		} else {
-			applier.waiting[id] = numbers
+			applier.waiting[id] = others
 		}
 		applier.stagedBytes -= staged.size
 		applier.lists.release(ticket.number)
 	}
 	delete(applier.staged, ticket.number)
-}
-
-// descending returns the staged numbers, highest first.
-func (applier *Applier) descending() []uint64 {
-	numbers := make([]uint64, 0, len(applier.staged))
-	for number := range applier.staged {
-		numbers = append(numbers, number)
-	}
-	slices.SortFunc(numbers, func(left, right uint64) int { return cmp.Compare(right, left) })
-	return numbers
+	at, _ := slices.BinarySearchFunc(applier.order, ticket.number, byNumber)
+	applier.order = slices.Delete(applier.order, at, at+1)
 }
 
 // settle puts every ticket into force that can take effect.
 func (applier *Applier) settle() {
-	numbers := applier.descending()
-	ready := applier.largest(numbers, func(set ticketSet, ticket *stagedTicket) bool {
-		return applier.isComplete(set, ticket) && len(applier.faults(set, ticket)) == 0
-	})
-	applier.enforceAll(ready.numbers(numbers))
+	applier.enforceAll(applier.largest(func(ticket *stagedTicket) bool {
+		return applier.isComplete(ticket) && len(applier.faults(ticket)) == 0
+	}))
 }
 
-// ticketSet is a set of staged tickets.
-type ticketSet map[uint64]bool
-
-// numbers returns the members in the order of the given numbers.
-func (set ticketSet) numbers(order []uint64) []uint64 {
-	return slices.DeleteFunc(slices.Clone(order), func(number uint64) bool { return !set[number] })
-}
-
-// largest returns the greatest subset in which each ticket fits the subset.
+// largest returns the greatest set of staged tickets in which each fits the
+// set, lowest number first; they stay marked as members until the next call.
 // Tickets depend on higher numbers for their objects, so that going down
 // settles these in one pass; only references can take more.
-func (applier *Applier) largest(descending []uint64, fits func(ticketSet, *stagedTicket) bool) ticketSet {
-	set := make(ticketSet, len(descending))
-	for _, number := range descending {
-		set[number] = true
+func (applier *Applier) largest(fits func(*stagedTicket) bool) []*stagedTicket {
+	for _, ticket := range applier.order {
+		ticket.member = true
 	}
 	for changed := true; changed; {
 		changed = false
-		for _, number := range descending {
-			if set[number] && !fits(set, applier.staged[number]) {
-				delete(set, number)
+		for _, ticket := range slices.Backward(applier.order) {
+			if ticket.member && !fits(ticket) {
+				ticket.member = false
 				changed = true
 			}
 		}
 	}
-	return set
+	return slices.DeleteFunc(slices.Clone(applier.order), func(ticket *stagedTicket) bool { return !ticket.member })
 }
 
-func (applier *Applier) isComplete(set ticketSet, ticket *stagedTicket) bool {
+func (applier *Applier) isComplete(ticket *stagedTicket) bool {
+	if ticket.gap != "" && !applier.covered(ticket.gap, ticket.number) {
+		return false
+	}
 	for _, id := range ticket.list {
-		if !applier.covered(set, id, ticket.number) {
+		if !applier.covered(id, ticket.number) {
+			ticket.gap = id
 			return false
 		}
 	}
 	return true
 }
 
-// covered reports whether an object is in force or staged in the set with at least this number.
-func (applier *Applier) covered(set ticketSet, id carobthread.ObjectID, least uint64) bool {
+// covered reports whether an object is in force or staged by a member of the set with at least this number.
+func (applier *Applier) covered(id carobthread.ObjectID, least uint64) bool {
 	if applier.number(id) >= least {
 		return true
 	}
-	return slices.ContainsFunc(applier.waiting[id], func(number uint64) bool { return number >= least && set[number] })
+	return slices.ContainsFunc(applier.waiting[id], func(ticket *stagedTicket) bool {
+		return ticket.number >= least && ticket.member
+	})
 }
 
 // faults returns the findings on the objects of a ticket that would be in force with the set.
-func (applier *Applier) faults(set ticketSet, ticket *stagedTicket) carobthread.Findings {
+func (applier *Applier) faults(ticket *stagedTicket) carobthread.Findings {
 	findings := carobthread.Findings{}
 	size := 0
 	for _, id := range ticket.list {
 		staged := ticket.rows[id]
-		if staged == nil || applier.covered(set, id, ticket.number+1) {
+		if staged == nil || applier.covered(id, ticket.number+1) {
 			continue
 		}
-		size += parser.SectionSize(&staged.object)
-		for _, needed := range parser.References(&staged.object) {
-			if !applier.covered(set, needed, 1) {
+		size += staged.section
+		for _, needed := range staged.needs {
+			if !applier.covered(needed, 1) {
 				findings = append(findings, ticket.finding("%s refers to %s, which does not exist", id, needed))
 			}
 		}
@@ -170,20 +165,19 @@
 }
 
 // enforceAll puts the tickets into force, lowest number first, so that each object ends with its highest number.
-func (applier *Applier) enforceAll(descending []uint64) {
+func (applier *Applier) enforceAll(ready []*stagedTicket) {
 	changed := &Changed{}
-	for _, number := range slices.Backward(descending) {
-		ticket := applier.staged[number]
+	for _, ticket := range ready {
 		before := len(changed.Objects)
 		for _, id := range ticket.list {
 			staged := ticket.rows[id]
-			if staged != nil && applier.number(id) < number {
+			if staged != nil && applier.number(id) < ticket.number {
 				applier.enforce(staged)
 				changed.Objects = append(changed.Objects, id)
 			}
 		}
 		if len(changed.Objects) > before {
-			changed.Tickets = append(changed.Tickets, number)
+			changed.Tickets = append(changed.Tickets, ticket.number)
 		}
 		applier.unstage(ticket)
 	}
@@ -198,16 +192,10 @@
 // evict drops the staged tickets with the lowest numbers until the rest is within its bound.
 // A dropped ticket that is in force elsewhere comes again with the next exchange.
 func (applier *Applier) evict(now carobthread.Instant) {
-	if applier.stagedBytes <= applier.options.StagedBytes {
-		return
-	}
-	for _, number := range slices.Backward(applier.descending()) {
-		if applier.stagedBytes <= applier.options.StagedBytes {
-			return
-		}
-		ticket := applier.staged[number]
+	for applier.stagedBytes > applier.options.StagedBytes {
+		ticket := applier.order[0]
 		applier.unstage(ticket)
-		applier.refuse(now, ticket.source, number, carobthread.Findings{
+		applier.refuse(now, ticket.source, ticket.number, carobthread.Findings{
 			ticket.finding("dropped, staged tickets exceed %d bytes", applier.options.StagedBytes),
 		})
 	}
@@ -217,33 +205,37 @@
 func (applier *Applier) missing(ticket *stagedTicket) []carobthread.ObjectID {
 	missing := []carobthread.ObjectID{}
 	for _, id := range ticket.list {
-		staged := slices.ContainsFunc(applier.waiting[id], func(number uint64) bool { return number >= ticket.number })
-		if !staged && applier.number(id) < ticket.number {
+		if !applier.holds(id, ticket.number) {
 			missing = append(missing, id)
 		}
 	}
 	return missing
 }
 
+// holds reports whether an object is in force or staged with at least this number.
+func (applier *Applier) holds(id carobthread.ObjectID, least uint64) bool {
+	return applier.number(id) >= least ||
+		slices.ContainsFunc(applier.waiting[id], func(ticket *stagedTicket) bool { return ticket.number >= least })
+}
+
 // reportWaiting reports each staged ticket once its wait is no longer explained by values on their way.
 func (applier *Applier) reportWaiting(now carobthread.Instant) {
-	numbers := applier.descending()
-	complete := applier.largest(numbers, applier.isComplete)
-	for _, number := range slices.Backward(numbers) {
-		ticket := applier.staged[number]
-		waited := now.Sub(ticket.since)
-		switch {
-		case complete[number] && waited >= danglingAfter:
-			applier.refuseStaged(now, ticket, applier.obstacles(complete, ticket))
-		case waited >= halfPublishedAfter:
+	complete := applier.largest(applier.isComplete)
+	for _, ticket := range complete {
+		if now.Sub(ticket.since) >= danglingAfter {
+			applier.refuseStaged(now, ticket, applier.obstacles(ticket))
+		}
+	}
+	for _, ticket := range applier.order {
+		if !ticket.member && now.Sub(ticket.since) >= halfPublishedAfter {
 			applier.refuseStaged(now, ticket, applier.gaps(ticket))
 		}
 	}
 }
 
 // obstacles returns the findings on a ticket that has arrived but cannot take effect.
-func (applier *Applier) obstacles(complete ticketSet, ticket *stagedTicket) carobthread.Findings {
-	findings := applier.faults(complete, ticket)
+func (applier *Applier) obstacles(ticket *stagedTicket) carobthread.Findings {
+	findings := applier.faults(ticket)
 	if len(findings) == 0 {
 		findings = append(findings, ticket.finding("needs objects of other tickets that are refused"))
 	}
--- a/applier/view.go
+++ b/applier/view.go
@@ -60,9 +60,8 @@
 		held := applier.held[id]
 		status.Objects = append(status.Objects, ObjectStatus{id, held.object.Ticket, held.source, held.at})
 	}
-	for _, number := range slices.Backward(applier.descending()) {
-		ticket := applier.staged[number]
-		status.Staged = append(status.Staged, StagedStatus{number, ticket.source, ticket.since, applier.missing(ticket), ticket.findings})
+	for _, ticket := range applier.order {
+		status.Staged = append(status.Staged, StagedStatus{ticket.number, ticket.source, ticket.since, applier.missing(ticket), ticket.findings})
 	}
 	return status
 }
@@ -99,8 +98,7 @@
 func (applier *Applier) Wanted(index parser.Index) []carobthread.ObjectID {
 	wanted := []carobthread.ObjectID{}
 	for id, number := range index.Numbers {
-		staged := slices.ContainsFunc(applier.waiting[id], func(held uint64) bool { return held >= number })
-		if !staged && applier.number(id) < number {
+		if !applier.holds(id, number) {
 			wanted = append(wanted, id)
 		}
 	}
