Test rolling stops, a kill and a pause with real daemon processes

Cause: nothing had run the daemon as separate processes under failure.

Change: the test binary runs itself as the daemon; four processes serve queries and bookings through a balancer that follows /readyz while they are stopped in turn, or one is paused for 3 s and another killed.

--- a/internal/deployer/deployer.go
+++ b/internal/deployer/deployer.go
@@ -85,6 +85,30 @@
 }
 
 func (deployment *Deployment) start(ctx context.Context) error {
+	if err := deployment.startUpstreams(); err != nil {
+		return err
+	}
+	for index := range hostCentres() {
+		if err := deployment.StartHost(ctx, index); err != nil {
+			return err
+		}
+	}
+	return deployment.AwaitReady(ctx)
+}
+
+// NewUpstreams starts the platform with its configuration and the searchers, without any host.
+func NewUpstreams(options Options) (*Deployment, error) {
+	deployment := &Deployment{options: options}
+	if err := deployment.startUpstreams(); err != nil {
+		return nil, errors.Join(err, deployment.Close())
+	}
+	return deployment, nil
+}
+
+// PlatformAddress returns the IP address and port of the platform.
+func (deployment *Deployment) PlatformAddress() string { return deployment.serving.Address() }
+
+func (deployment *Deployment) startUpstreams() error {
 	clock := timer.New()
 	deployment.Platform = standin.NewPlatform(standin.PlatformOptions{Timer: clock, Latency: 2 * time.Millisecond})
 	var err error
@@ -94,15 +118,7 @@
 	if err := deployment.startSearchers(); err != nil {
 		return err
 	}
-	if err := deployment.Publish(Objects(&deployment.config)); err != nil {
-		return err
-	}
-	for index := range hostCentres() {
-		if err := deployment.StartHost(ctx, index); err != nil {
-			return err
-		}
-	}
-	return deployment.AwaitReady(ctx)
+	return deployment.Publish(Objects(&deployment.config))
 }
 
 func (deployment *Deployment) startSearchers() error {
