Forward keys of a later incarnation than the view's

Cause: a restarted host is ready before all others have heard of its new incarnation, and they answered "unknown" for its keys at once.

Change: a key is forwarded unless the view knows a later incarnation than the key's; only the minting process runs it, so safety does not change.

Conclusion: ruled out a delay of readiness until the view has spread, which would lengthen every restart by seconds.

--- a/executor/forward.go
+++ b/executor/forward.go
@@ -24,6 +24,8 @@
 	executor.actions = append(executor.actions, Action{Forward: action})
 }
 
+// reachable reports whether the minting incarnation may still run. The view lags behind a restart, so a key of a
+// later incarnation than the view's is forwarded too: the process that answers runs only its own keys.
 func (executor *Executor) reachable(key Key) bool {
 	if key.Host == executor.options.Host {
 		return false
@@ -31,7 +33,7 @@
 	for i := range executor.view.Hosts {
 		host := &executor.view.Hosts[i]
 		if host.Name == key.Host {
-			return host.Incarnation == key.Incarnation
+			return !key.Incarnation.Less(host.Incarnation)
 		}
 	}
 	return false
