Write a benchmark report with plots and check the shortest deadline

Cause: the design promises full coverage for every deadline from four medians on, but the check used only the deadlines of the scenarios.

--- a/bencher/bound.go
+++ b/bencher/bound.go
@@ -23,7 +23,9 @@
 	Name      string
 	Scenarios []string
 	Faults    []string
-	Limits    []Limit
+	// DeadlineMedians replaces the deadlines of the scenarios if it is not 0.
+	DeadlineMedians float64
+	Limits          []Limit
 }
 
 // Limit is the greatest value that a measure may have.
@@ -89,24 +91,37 @@
 func parseBound(section *ini.Section) (Bound, error) {
 	bound := Bound{Name: section.Name()}
 	for _, key := range section.Keys() {
-		switch name := key.Name(); {
-		case name == "scenarios":
-			bound.Scenarios = key.Strings(",")
-		case name == "faults":
-			bound.Faults = key.Strings(",")
-		case measures()[name] == nil:
-			return bound, fmt.Errorf("parse bounds: section %s: unknown key %q", bound.Name, name)
-		default:
-			value, err := key.Float64()
-			if err != nil {
-				return bound, fmt.Errorf("parse bounds: section %s: key %s: %w", bound.Name, name, err)
-			}
-			bound.Limits = append(bound.Limits, Limit{Measure: name, Value: value})
+		if err := bound.set(key); err != nil {
+			return bound, fmt.Errorf("parse bounds: section %s: %w", bound.Name, err)
 		}
 	}
 	return bound, bound.validate()
 }
 
+func (bound *Bound) set(key *ini.Key) error {
+	switch key.Name() {
+	case "scenarios":
+		bound.Scenarios = key.Strings(",")
+		return nil
+	case "faults":
+		bound.Faults = key.Strings(",")
+		return nil
+	}
+	value, err := key.Float64()
+	if err != nil {
+		return fmt.Errorf("key %s: %w", key.Name(), err)
+	}
+	if key.Name() == "deadline-medians" {
+		bound.DeadlineMedians = value
+		return nil
+	}
+	if measures()[key.Name()] == nil {
+		return fmt.Errorf("unknown key %q", key.Name())
+	}
+	bound.Limits = append(bound.Limits, Limit{Measure: key.Name(), Value: value})
+	return nil
+}
+
 // validate reports a name that no run can match, since its bound would never be checked.
 func (bound *Bound) validate() error {
 	for _, name := range bound.Scenarios {
@@ -128,11 +143,16 @@
 	return nil
 }
 
-// covers reports whether the bound holds for a scenario under faults.
-func (bound *Bound) covers(scenario string, faults []Fault) bool {
-	if !slices.Contains(bound.Scenarios, allScenarios) && !slices.Contains(bound.Scenarios, scenario) {
+// covers reports whether the bound holds for a run.
+func (bound *Bound) covers(run Run) bool {
+	if !slices.Contains(bound.Scenarios, allScenarios) && !slices.Contains(bound.Scenarios, run.Scenario.Name) {
+		return false
+	}
+	// A bound on any run holds for every deadline.
+	if run.DeadlineMedians != bound.DeadlineMedians && !slices.Contains(bound.Faults, anyFault) {
 		return false
 	}
+	faults := run.Faults
 	return slices.ContainsFunc(bound.Faults, func(name string) bool {
 		return name == anyFault || name == singleFault && len(faults) == 1 || name == FaultNames(faults)
 	})
--- a/bencher/check.go
+++ b/bencher/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 )
 
@@ -46,49 +47,85 @@
 }
 
 // Check runs the selection and compares its figures with the bounds.
-// Without faults in the selection it takes no fault, each single fault, and in one scenario each pair.
+//
+// Without faults in the selection it takes no fault, each single fault, in one scenario each pair of faults,
+// and the shorter deadlines that bounds name.
 func Check(selection Selection, bounds *Bounds) (*Checked, error) {
 	if len(selection.Seeds) == 0 {
 		selection.Seeds = bounds.Seeds
 	}
-	current, baseline := Policies()[0], Policies()[1]
-	runs, err := selection.Runs([]Policy{current})
+	runs, err := bounds.runs(selection)
 	if err != nil {
 		return nil, err
 	}
-	for i := range runs {
-		if len(runs[i].Faults) > 1 {
-			runs[i].Scenario = runs[i].Scenario.Short()
-		}
-	}
-	if len(selection.Faults) == 0 {
-		runs = append(runs, pairRuns(runs, current)...)
-	}
 	baselineOf := map[int]int{}
 	for i, run := range runs[:len(runs):len(runs)] {
 		if bounds.needBaseline(run) {
 			baselineOf[i] = len(runs)
-			run.Policy = baseline
+			run.Policy = baselinePolicy()
 			runs = append(runs, run)
 		}
 	}
 	results := ExecuteAll(runs)
 	checked := &Checked{Runs: len(runs)}
-	for i, run := range runs {
-		if run.Policy.Name != current.Name {
-			continue
-		}
-		var compared *Result
+	for i, run := range runs[:len(runs)-len(baselineOf)] {
+		var baseline *Result
 		if at, known := baselineOf[i]; known {
-			compared = results[at]
+			baseline = results[at]
 		}
-		checked.compare(bounds, run, results[i], compared)
+		checked.compare(bounds, run, results[i], baseline)
 	}
 	return checked, nil
 }
 
+func currentPolicy() Policy { return Policies()[0] }
+
+func baselinePolicy() Policy { return Policies()[1] }
+
+// runs returns the runs of the current policy.
+func (bounds *Bounds) runs(selection Selection) ([]Run, error) {
+	runs, err := selection.Runs([]Policy{currentPolicy()})
+	if err != nil {
+		return nil, err
+	}
+	if len(selection.Faults) == 0 {
+		runs = append(runs, pairRuns(runs)...)
+	}
+	if selection.DeadlineMedians == 0 && len(selection.Faults) == 0 {
+		for _, bound := range bounds.Bounds {
+			deadlines, err := bound.deadlineRuns(selection)
+			if err != nil {
+				return nil, err
+			}
+			runs = append(runs, deadlines...)
+		}
+	}
+	for i := range runs {
+		switch {
+		case runs[i].DeadlineMedians > 0:
+			runs[i].Scenario = runs[i].Scenario.Brief()
+		case len(runs[i].Faults) > 1:
+			runs[i].Scenario = runs[i].Scenario.Short()
+		}
+	}
+	return runs, nil
+}
+
+// deadlineRuns returns the runs that the bound needs for a deadline of its own.
+func (bound *Bound) deadlineRuns(selection Selection) ([]Run, error) {
+	if bound.DeadlineMedians == 0 {
+		return nil, nil
+	}
+	selection.DeadlineMedians = bound.DeadlineMedians
+	runs, err := selection.Runs([]Policy{currentPolicy()})
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(runs, func(run Run) bool { return !bound.covers(run) }), nil
+}
+
 // pairRuns returns one run for each pair of faults in the pair scenario if the runs contain it.
-func pairRuns(runs []Run, policy Policy) []Run {
+func pairRuns(runs []Run) []Run {
 	pairs := []Run{}
 	for _, run := range runs {
 		if run.Scenario.Name != pairScenario || len(run.Faults) > 0 {
@@ -97,12 +134,8 @@
 		faults := Faults()
 		for i := range faults {
 			for j := range i {
-				pairs = append(pairs, Run{
-					Scenario: run.Scenario.Short(),
-					Faults:   []Fault{faults[j], faults[i]},
-					Policy:   policy,
-					Seed:     run.Seed,
-				})
+				run.Faults = []Fault{faults[j], faults[i]}
+				pairs = append(pairs, run)
 			}
 		}
 	}
@@ -111,7 +144,7 @@
 
 func (bounds *Bounds) needBaseline(run Run) bool {
 	for _, bound := range bounds.Bounds {
-		if !bound.covers(run.Scenario.Name, run.Faults) {
+		if !bound.covers(run) {
 			continue
 		}
 		for _, limit := range bound.Limits {
@@ -125,7 +158,7 @@
 
 func (checked *Checked) compare(bounds *Bounds, run Run, result, baseline *Result) {
 	for _, bound := range bounds.Bounds {
-		if !bound.covers(run.Scenario.Name, run.Faults) {
+		if !bound.covers(run) {
 			continue
 		}
 		for _, limit := range bound.Limits {
@@ -153,6 +186,10 @@
 }
 
 func repeatCommand(result *Result) string {
-	return fmt.Sprintf("go run ./cmd/carobctl bench --check --scenario %s --fault %s --seed %d",
+	command := fmt.Sprintf("go run ./cmd/carobctl bench --check --scenario %s --fault %s --seed %d",
 		result.Scenario, result.Fault, result.Seed)
+	if result.DeadlineMedians > 0 {
+		command += fmt.Sprintf(" --deadline-medians %g", result.DeadlineMedians)
+	}
+	return command
 }
--- a/bencher/result.go
+++ b/bencher/result.go
@@ -22,6 +22,8 @@
 	Fault    string `json:"fault"`
 	Policy   string `json:"policy"`
 	Seed     uint64 `json:"seed"`
+	// DeadlineMedians is 0 for the deadlines of the scenario.
+	DeadlineMedians float64 `json:"deadline-medians,omitempty"`
 
 	Queries int `json:"queries"`
 	Answers int `json:"answers"`
@@ -53,13 +55,14 @@
 
 func newResult(run Run) *Result {
 	return &Result{
-		Scenario:      run.Scenario.Name,
-		Fault:         FaultNames(run.Faults),
-		Policy:        run.Policy.Name,
-		Seed:          run.Seed,
-		CoverageLeast: 1,
-		Broken:        map[Invariant]int{},
-		latency:       hdrhistogram.New(leastLatency, greatestLatency, latencyDigits),
+		Scenario:        run.Scenario.Name,
+		Fault:           FaultNames(run.Faults),
+		Policy:          run.Policy.Name,
+		Seed:            run.Seed,
+		DeadlineMedians: run.DeadlineMedians,
+		CoverageLeast:   1,
+		Broken:          map[Invariant]int{},
+		latency:         hdrhistogram.New(leastLatency, greatestLatency, latencyDigits),
 	}
 }
 
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -1,9 +1,12 @@
 package bencher
 
 import (
+	"cmp"
 	"math"
 	"time"
 
+	"gonum.org/v1/gonum/stat/distuv"
+
 	"carobthread"
 )
 
@@ -62,6 +65,8 @@
 	Measured time.Duration `json:"measured"`
 	// FaultSpan is how long a fault with an end lasts.
 	FaultSpan time.Duration `json:"fault-span"`
+	// Deadline replaces the soft and the hard deadline if it is not 0.
+	Deadline time.Duration `json:"deadline,omitempty"`
 	// Rate replaces the arrivals a second if it is not 0.
 	Rate float64       `json:"rate,omitempty"`
 	Tick time.Duration `json:"tick"`
@@ -73,6 +78,7 @@
 	greece := Scenario{CentreDelay: 500 * time.Microsecond, ClientDelay: time.Millisecond}
 	target := fanOut(greece, "target-fan-out", 120, carobthread.LatencyFirst)
 	target = target.Short()
+	target.Measured = 3 * time.Second
 	return []Scenario{
 		fanOut(kerala, "kerala-matching", 10, carobthread.LatencyFirst),
 		fanOut(kerala, "kerala-roster", 15, carobthread.LatencyFirst),
@@ -135,6 +141,25 @@
 	return scenario
 }
 
+// Brief returns the scenario with the least time in which faults still show, for checks of many variants.
+func (scenario Scenario) Brief() Scenario {
+	scenario.WarmUp, scenario.Measured, scenario.FaultSpan = time.Second, 2*time.Second, 2*time.Second
+	return scenario
+}
+
+// WithDeadline returns the scenario with a soft and hard deadline of this many medians of a query's latency.
+func (scenario Scenario) WithDeadline(medians float64) Scenario {
+	scenario.Deadline = time.Duration(medians * float64(scenario.medianLatency()))
+	return scenario
+}
+
+// medianLatency is the median latency of a query on idle searchers: the network and the median of the slowest shard.
+func (scenario Scenario) medianLatency() time.Duration {
+	slowest := distuv.LogNormal{Mu: math.Log(medianServiceTime.Seconds()), Sigma: serviceTimeSigma}
+	service := slowest.Quantile(math.Pow(0.5, 1/float64(scenario.Shards)))
+	return 2*scenario.ClientDelay + 2*scenario.CentreDelay + time.Duration(service*float64(time.Second))
+}
+
 // Sample returns a scenario of 3 shards and few queries, small enough to record it.
 func (scenario Scenario) Sample() Scenario {
 	if !scenario.Execute {
@@ -158,14 +183,22 @@
 	return loadShare * float64(scenario.slotsOfShard()) / mean
 }
 
+func (scenario Scenario) softDeadline() time.Duration {
+	return cmp.Or(scenario.Deadline, softDeadline)
+}
+
+func (scenario Scenario) hardDeadline() time.Duration {
+	return cmp.Or(scenario.Deadline, hardDeadline)
+}
+
 // service returns the configuration of the scenario's service.
 func (scenario Scenario) service() carobthread.Service {
 	service := carobthread.Service{
 		Name:          serviceName,
 		Kind:          carobthread.KindSearch,
 		Preference:    scenario.Preference,
-		SoftDeadline:  softDeadline,
-		HardDeadline:  hardDeadline,
+		SoftDeadline:  scenario.softDeadline(),
+		HardDeadline:  scenario.hardDeadline(),
 		CoverageFloor: coverageFloor,
 		MaxInFlight:   admittedTimes * scenario.slotsOfShard() / len(hostCentres()),
 		Layout:        firstLayout,
--- a/bencher/selection.go
+++ b/bencher/selection.go
@@ -15,6 +15,8 @@
 	Faults []string
 	// Seeds defaults to the seed 1.
 	Seeds []uint64
+	// DeadlineMedians replaces the deadlines of the scenarios if it is not 0.
+	DeadlineMedians float64
 }
 
 // Runs returns the runs of the selection, the policies of one scenario, fault and seed next to each other.
@@ -33,10 +35,19 @@
 	}
 	runs := []Run{}
 	for _, scenario := range scenarios {
+		if selection.DeadlineMedians > 0 {
+			scenario = scenario.WithDeadline(selection.DeadlineMedians)
+		}
 		for _, combined := range faults {
 			for _, seed := range seeds {
 				for _, policy := range policies {
-					runs = append(runs, Run{Scenario: scenario, Faults: combined, Policy: policy, Seed: seed})
+					runs = append(runs, Run{
+						Scenario:        scenario,
+						Faults:          combined,
+						Policy:          policy,
+						Seed:            seed,
+						DeadlineMedians: selection.DeadlineMedians,
+					})
 				}
 			}
 		}
--- a/bencher/simulation.go
+++ b/bencher/simulation.go
@@ -53,6 +53,8 @@
 	Faults   []Fault
 	Policy   Policy
 	Seed     uint64
+	// DeadlineMedians tells runs apart whose scenario has a deadline of its own.
+	DeadlineMedians float64
 	// Wrap replaces the core of the first host by one that wraps it.
 	Wrap func(decider carobthread.Decider) carobthread.Decider
 }
@@ -291,7 +293,7 @@
 		host.deliver(carobthread.Event{Query: &carobthread.QueryArrived{
 			Query:    id,
 			Service:  serviceName,
-			Deadline: started.Add(hardDeadline),
+			Deadline: started.Add(simulation.scenario.hardDeadline()),
 			Size:     1000,
 		}})
 	})
@@ -353,7 +355,7 @@
 // coverable reports whether, from the query's arrival on, every shard had a live and reachable replica
 // that held one snapshot, the same for all shards, and the host ran for at least four medians before the deadline.
 func (simulation *simulation) coverable(host *entryHost, query *openQuery) bool {
-	deadline := query.started.Add(hardDeadline)
+	deadline := query.started.Add(simulation.scenario.hardDeadline())
 	if deadline.Sub(query.arrived)-(host.pausedFor()-query.pausedBefore) < 4*medianServiceTime {
 		return false
 	}
--- a/cmd/carobctl/bench.go
+++ b/cmd/carobctl/bench.go
@@ -13,6 +13,8 @@
 	Scenario []string `long:"scenario" value-name:"NAME" description:"scenario to run; may be repeated (default: all)"`
 	Fault    []string `long:"fault" value-name:"NAME[,NAME]" description:"faults to combine; may be repeated (default: none and each single fault)"`
 	Seed     []uint64 `long:"seed" value-name:"N" description:"seed of a run; may be repeated (default: 1)"`
+	Deadline float64  `long:"deadline-medians" value-name:"N" description:"replace the deadlines by N median latencies"`
+	Output   string   `long:"output" value-name:"DIR" description:"write a report with plots to the directory"`
 	Check    bool     `long:"check" description:"compare with the stated bounds; exit with 1 if one is broken"`
 	JSON     bool     `long:"json" description:"print results as JSON lines"`
 	List     bool     `long:"list" description:"list scenarios and faults"`
@@ -26,7 +28,7 @@
 	if command.List {
 		return bencher.WriteList(os.Stdout)
 	}
-	selection := bencher.Selection{Scenarios: command.Scenario, Faults: command.Fault, Seeds: command.Seed}
+	selection := bencher.Selection{Scenarios: command.Scenario, Faults: command.Fault, Seeds: command.Seed, DeadlineMedians: command.Deadline}
 	if command.Check {
 		return command.check(selection)
 	}
@@ -35,6 +37,11 @@
 		return &usageError{err}
 	}
 	results := bencher.ExecuteAll(runs)
+	if command.Output != "" {
+		if err := bencher.WriteReport(command.Output, runs, results); err != nil {
+			return err
+		}
+	}
 	if command.JSON {
 		return writeJSONLines(results)
 	}
