--- a/applier/applier.go
+++ b/applier/applier.go
@@ -165,12 +165,6 @@
 	return 0
 }
 
-// Len returns the number of objects in force.
-func (applier *Applier) Len() int { return len(applier.held) }
-
-// Highest returns the highest ticket number in force, or 0.
-func (applier *Applier) Highest() uint64 { return applier.highest }
-
 // enforce puts one row into force.
 func (applier *Applier) enforce(arrived *row) {
 	id := arrived.object.ID
