Let objects in force keep only their own bytes

Cause: strings in decoded objects were parts of the value's text, so each object in force kept its whole value, which repeats the ticket's object list. At the target's 32,000 objects that came near the 256 MB that a node may spend on control.

Change: the parser clones what it stores and checks ids and lists without building objects and tables for them.

The new test finds 9,940 bytes an object in tickets of 512 without the change and passes with it.

--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -238,6 +239,31 @@
 	}
 }
 
+// Guards against objects in force that keep the text of their whole value in memory, which repeats the ticket's list.
+func TestObjectsKeepNoValue(t *testing.T) {
+	ids := []string{}
+	for i := range 512 {
+		ids = append(ids, fmt.Sprintf("searcher/s-%05d", i))
+	}
+	ticket := makeTicket(t, "1", ids)
+	host := applier.New(applier.Options{})
+	before, after := runtime.MemStats{}, runtime.MemStats{}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	batch := &applier.Arrived{Source: "platform"}
+	for _, value := range parser.Publish(&ticket) {
+		batch.Values = append(batch.Values, value.Content)
+	}
+	host.Step(applier.Event{Arrived: batch})
+	batch.Values = nil
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, host.Len(), len(ids))
+	perObject := (int64(after.HeapAlloc) - int64(before.HeapAlloc)) / int64(len(ids))
+	assert.Assert(t, perObject < 2000, "%d bytes an object, its value has 9,000", perObject)
+	runtime.KeepAlive(ticket)
+}
+
 // Guards against a start whose cost grows with the square of the objects: the snapshot comes in 320 pieces, and each
 // ticket lists two objects that are far apart, so that half of the snapshot waits for the other half.
 func BenchmarkSnapshotOf32000Objects(b *testing.B) {
--- a/parser/field.go
+++ b/parser/field.go
@@ -18,6 +18,8 @@
 // A section is read through a list of fields: each names a key, states
 // whether it must be present, and converts its value into a struct. A key that
 // no field names is unknown. A struct holds its defaults before it is read.
+// Strings are cloned into structs: a substring would keep the whole file in
+// memory, which for a published object with a long list is many times its size.
 
 // maxNameLength bounds names of objects, hosts and data centres in bytes.
 const maxNameLength = 64
@@ -70,14 +72,14 @@
 
 func text(target *string) converter {
 	return func(value *ini.Key) error {
-		*target = value.Value()
+		*target = strings.Clone(value.Value())
 		return nil
 	}
 }
 
 func name(target *string) converter {
 	return func(value *ini.Key) error {
-		*target = value.Value()
+		*target = strings.Clone(value.Value())
 		return checkName(value.Value())
 	}
 }
@@ -87,20 +89,33 @@
 	if len(name) > maxNameLength {
 		return fmt.Errorf("name has %d bytes, the limit is %d", len(name), maxNameLength)
 	}
-	// A name that starts with a dot could be taken for a relative path in the platform's URLs.
-	if name == "" || strings.ContainsAny(name[:1], "-_.") || strings.ContainsFunc(name, func(char rune) bool { return !nameRune(char) }) {
+	if !isName(name) {
 		return fmt.Errorf("malformed name %q, names have letters, digits, '-', '_' and '.' after a letter or digit", name)
 	}
 	return nil
 }
 
+// isName refuses a leading dot above all, which could be taken for a relative path in the platform's URLs.
+func isName(name string) bool {
+	if name == "" || name[0] == '-' || name[0] == '_' || name[0] == '.' {
+		return false
+	}
+	for _, char := range name {
+		if !nameRune(char) {
+			return false
+		}
+	}
+	return true
+}
+
 // choice accepts one of the given words.
 func choice[Word ~string](target *Word, words ...Word) converter {
 	return func(value *ini.Key) error {
-		if !slices.Contains(words, Word(value.Value())) {
+		known := slices.Index(words, Word(value.Value()))
+		if known < 0 {
 			return fmt.Errorf("%q is not one of %v", value.Value(), words)
 		}
-		*target = Word(value.Value())
+		*target = words[known]
 		return nil
 	}
 }
@@ -238,23 +253,41 @@
 // list accepts distinct items separated by commas; check is called with each one.
 func list(target *[]string, check func(item string) error) converter {
 	return func(value *ini.Key) error {
-		items := strings.Split(value.Value(), ",")
-		seen := make(map[string]bool, len(items))
+		items := strings.Split(strings.Clone(value.Value()), ",")
 		for i := range items {
 			items[i] = strings.TrimSpace(items[i])
 			if err := check(items[i]); err != nil {
 				return err
 			}
-			if seen[items[i]] {
-				return fmt.Errorf("%q is listed twice", items[i])
-			}
-			seen[items[i]] = true
+		}
+		if item, found := duplicate(items); found {
+			return fmt.Errorf("%q is listed twice", item)
 		}
 		*target = items
 		return nil
 	}
 }
 
+// duplicate returns an item that occurs twice; published lists are ordered, which needs no table.
+func duplicate(items []string) (string, bool) {
+	if slices.IsSorted(items) {
+		for i := 1; i < len(items); i++ {
+			if items[i] == items[i-1] {
+				return items[i], true
+			}
+		}
+		return "", false
+	}
+	seen := make(map[string]bool, len(items))
+	for _, item := range items {
+		if seen[item] {
+			return item, true
+		}
+		seen[item] = true
+	}
+	return "", false
+}
+
 // ordered sorts findings by place so that reports follow the file.
 func ordered(findings carobthread.Findings) carobthread.Findings {
 	slices.SortStableFunc(findings, func(left, right carobthread.Finding) int {
--- a/parser/hosts.go
+++ b/parser/hosts.go
@@ -26,7 +26,7 @@
 	doc := scan(file, content)
 	hosts := make([]carobthread.Host, 0, len(doc.sections))
 	for _, current := range doc.sections {
-		host := carobthread.Host{Name: current.name}
+		host := carobthread.Host{Name: strings.Clone(current.name)}
 		if err := checkName(host.Name); err != nil {
 			doc.report(current.at, "section [%s]: %v", current.name, err)
 		}
--- a/parser/object.go
+++ b/parser/object.go
@@ -77,40 +77,57 @@
 	}
 }
 
+// idParts are the words of an object's id.
+type idParts struct {
+	kind       string
+	name       string
+	generation uint32
+}
+
+// splitID checks an id whose words are joined by a separator, "/" in ids and " " in section headers.
+func splitID(id, separator string) (idParts, error) {
+	kind, rest, _ := strings.Cut(id, separator)
+	name, digits, found := strings.Cut(rest, separator)
+	parts := idParts{kind: kind, name: name}
+	if kind != serviceWord && kind != layoutWord && kind != searcherWord {
+		return parts, fmt.Errorf("unknown kind of object %q", kind)
+	}
+	if rest == "" || found != (kind == layoutWord) {
+		return parts, fmt.Errorf("%q is not service/NAME, layout/SERVICE/GENERATION or searcher/NAME", strings.ReplaceAll(id, " ", "/"))
+	}
+	if err := checkName(name); err != nil || !found {
+		return parts, err
+	}
+	generation, err := strconv.ParseUint(digits, 10, 32)
+	if err != nil || generation == 0 || digits[0] == '0' {
+		return parts, fmt.Errorf("%q is not a layout generation, allowed are 1 to %d", digits, uint32(math.MaxUint32))
+	}
+	parts.generation = uint32(generation)
+	return parts, nil
+}
+
 // checkID accepts the id of an object.
 func checkID(id string) error {
-	_, err := blankObject(strings.Split(id, "/"))
+	_, err := splitID(id, "/")
 	return err
 }
 
-// blankObject returns an object that holds the id, the names and the defaults.
-func blankObject(words []string) (carobthread.Object, error) {
-	object := carobthread.Object{ID: carobthread.ObjectID(strings.Join(words, "/"))}
-	wanted := 2
-	if words[0] == layoutWord {
-		wanted = 3
-	}
-	if len(words) != wanted {
-		return object, fmt.Errorf("%q is not service/NAME, layout/SERVICE/GENERATION or searcher/NAME", object.ID)
-	}
-	if err := checkName(words[1]); err != nil {
-		return object, err
+// blankObject returns the object that a section header names, with its defaults.
+func blankObject(header string) (carobthread.Object, error) {
+	parts, err := splitID(header, " ")
+	if err != nil {
+		return carobthread.Object{}, err
 	}
-	switch words[0] {
+	name := strings.Clone(parts.name)
+	switch parts.kind {
 	case serviceWord:
-		object.Service = defaultService(words[1])
+		return carobthread.Object{ID: ServiceID(name), Service: defaultService(name)}, nil
 	case layoutWord:
-		generation, err := strconv.ParseUint(words[2], 10, 32)
-		if err != nil || generation == 0 || words[2][0] == '0' {
-			return object, fmt.Errorf("%q is not a layout generation, allowed are 1 to %d", words[2], uint32(math.MaxUint32))
-		}
-		object.Layout = &carobthread.Layout{Service: words[1], Generation: uint32(generation)}
-	case searcherWord:
-		object.Searcher = &carobthread.Searcher{Name: words[1]}
+		layout := &carobthread.Layout{Service: name, Generation: parts.generation}
+		return carobthread.Object{ID: LayoutID(name, parts.generation), Layout: layout}, nil
 	default:
-		return object, fmt.Errorf("unknown kind of object %q", words[0])
+		return carobthread.Object{ID: SearcherID(name), Searcher: &carobthread.Searcher{Name: name}}, nil
 	}
-	return object, nil
 }
 
 func defaultService(name string) *carobthread.Service {
@@ -128,7 +145,7 @@
 
 // object reads the section of an object; the second result is false for a section that names none.
 func (doc *document) object(current *section, ticket uint64) (carobthread.Object, bool) {
-	object, err := blankObject(strings.Split(current.name, " "))
+	object, err := blankObject(current.name)
 	if err != nil {
 		doc.report(current.at, "section [%s]: %v", current.name, err)
 		return object, false
