End an unchanged watch with its revision

Cause: the client watched again after each "not changed" until its deadline passed, so a platform without changes looked like a failing one every 35 s and the configuration's age grew although it was current.

Change: Watch returns the given revision without content when the platform states that nothing has changed; the propagation core already takes this as a confirmation.

Before: the new test hangs until its context ends. After: it passes with one call.

Conclusion: freshness is confirmed every 30 s by a quiet platform.

--- a/platform.go
+++ b/platform.go
@@ -13,7 +13,8 @@
 type Platform interface {
 	// Read returns the value of a key; a key that does not exist gives a *PlatformError with Missing set.
 	Read(ctx context.Context, key string) (Value, error)
-	// Watch waits until the revision of a key differs from the given one and returns the value.
+	// Watch waits until the revision of a key differs from the given one and returns the value; when the service states
+	// after some time that it has not changed, the value has the given revision and no content.
 	Watch(ctx context.Context, key string, revision uint64) (Value, error)
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -96,16 +96,16 @@
 	return value, err
 }
 
-// Watch returns the value of a key once its revision differs; failures are *carobthread.PlatformError.
+// Watch returns the value of a key once its revision differs, or a value without content when the platform states that
+// it has not changed; failures are *carobthread.PlatformError.
 func (watcher *Watcher) Watch(ctx context.Context, key string, revision uint64) (carobthread.Value, error) {
 	target := watcher.base.JoinPath("v1", "watch", key)
 	target.RawQuery = url.Values{"revision": {strconv.FormatUint(revision, 10)}}.Encode()
-	for {
-		value, changed, err := watcher.call(ctx, target, key, WatchTime+watchSlack)
-		if err != nil || changed && value.Revision != revision {
-			return value, err
-		}
+	value, changed, err := watcher.call(ctx, target, key, WatchTime+watchSlack)
+	if err != nil || changed {
+		return value, err
 	}
+	return carobthread.Value{Key: key, Revision: revision}, nil
 }
 
 // call makes one request when the pace allows it; the second result is false for an unchanged value.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -197,3 +197,17 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, unchanged, value)
 }
+
+// Guards against a quiet platform that looks like a failing one: an unchanged watch must end without an error.
+func TestUnchangedWatchKeepsItsRevision(t *testing.T) {
+	quiet := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusNotModified)
+	}))
+	defer quiet.Close()
+	client := watcher.New(timer.New(), watcher.Options{Address: quiet.Listener.Addr().String()})
+	defer client.Close()
+	value, err := client.Watch(context.Background(), "index", 7)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, value, carobthread.Value{Key: "index", Revision: 7})
+	assert.Equal(t, client.Stats().Calls, uint64(1))
+}
