Test outage, rollback and draining over real connections

Cause: the live wiring of platform, peers and draining had no failure test.

Change: one host restarts while the platform is down and rolled back and must get the newest ticket from its peers; two searchers drain and must get no request after 3 s.

Before: not tested.

--- a/internal/deployer/deployer.go
+++ b/internal/deployer/deployer.go
@@ -227,6 +227,9 @@
 	}
 	settings.Platform.Address = deployment.serving.Address()
 	settings.Stop.Grace = deployment.options.Grace
+	for _, other := range deployment.Hosts {
+		settings.Peers.Addresses = append(settings.Peers.Addresses, carobthread.SeedPeer{Address: other.Runner.PeerAddress()})
+	}
 	entry, err := runner.New(ctx, runner.Options{Settings: settings, Logger: deployment.options.Logger, Seed: uint64(index)})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/deployer/deployer_test.go
@@ -0,0 +1,101 @@
+package deployer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"carobthread"
+	"carobthread/internal/deployer"
+	"carobthread/internal/standin"
+	"carobthread/parser"
+	"carobthread/rpc/carobthreadv1"
+)
+
+func start(t *testing.T) *deployer.Deployment {
+	t.Helper()
+	deployment, err := deployer.New(context.Background(), deployer.Options{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, deployment.Close()) })
+	return deployment
+}
+
+func search(t *testing.T, host *deployer.Host) *carobthreadv1.SearchResponse {
+	t.Helper()
+	response, err := host.Client.Search(context.Background(), connect.NewRequest(&carobthreadv1.SearchRequest{Service: deployer.Matching}))
+	assert.NilError(t, err)
+	return response.Msg
+}
+
+// awaitTicket waits until the host has the ticket in force.
+func awaitTicket(t *testing.T, host *deployer.Host, number uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if highest := host.Runner.Status().Control.Propagation.Highest; highest != number {
+			return poll.Continue("ticket %d is in force", highest)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// service returns the search service with another floor, as an operator's change.
+func service(floor float64) []carobthread.Object {
+	return []carobthread.Object{{ID: parser.ServiceID(deployer.Matching), Service: &carobthread.Service{
+		Name: deployer.Matching, Kind: carobthread.KindSearch, Preference: carobthread.CoverageFirst,
+		SoftDeadline: 80 * time.Millisecond, HardDeadline: 160 * time.Millisecond, CoverageFloor: floor,
+		HedgeQuantile: 0.95, ExtraShare: 0.05, MaxInFlight: 1000, MaxRequestSize: 64 << 10, MaxReplySize: 1 << 20, Layout: 1,
+	}}}
+}
+
+// Guards against a host that reverts to an older configuration, or that cannot start, while the platform is down or rolled back.
+func TestConfigurationSurvivesThePlatform(t *testing.T) {
+	deployment := start(t)
+	before := deployment.Platform.Revision()
+	assert.NilError(t, deployment.Publish(service(0.9)))
+	for _, host := range deployment.Hosts {
+		awaitTicket(t, host, deployment.Ticket())
+	}
+	deployment.Platform.RollBack(before)
+	deployment.Platform.SetOutage(true)
+	assert.NilError(t, deployment.Hosts[0].Stop())
+	assert.NilError(t, deployment.StartHost(context.Background(), 0))
+	awaitTicket(t, deployment.Hosts[0], deployment.Ticket())
+	assert.NilError(t, deployment.AwaitReady(context.Background()))
+	deployment.Platform.SetOutage(false)
+	time.Sleep(time.Second) // the readers see the rolled back values
+	for _, host := range deployment.Hosts {
+		assert.Equal(t, host.Runner.Status().Control.Propagation.Highest, deployment.Ticket())
+		assert.Equal(t, int(search(t, host).GetCoverage().GetTotal()), deployer.Shards)
+	}
+}
+
+// Guards against new work for a draining searcher more than 3 s after its first sign.
+func TestDrainingSearcherGetsNoNewWork(t *testing.T) {
+	deployment := start(t)
+	draining := []*standin.Searcher{deployment.Matching[0][0], deployment.Bookings[0]}
+	for _, searcher := range draining {
+		searcher.Drain()
+	}
+	deadline := time.Now().Add(3 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, host := range deployment.Hosts {
+			search(t, host)
+		}
+	}
+	before := draining[0].Calls() + draining[1].Calls()
+	for range 50 {
+		for _, host := range deployment.Hosts {
+			assert.Equal(t, int(search(t, host).GetCoverage().GetTotal()), deployer.Shards)
+			reserved, err := host.Client.Reserve(context.Background(), connect.NewRequest(&carobthreadv1.ReserveRequest{Service: deployer.Bookings}))
+			assert.NilError(t, err)
+			outcome, err := host.Client.Execute(context.Background(), connect.NewRequest(&carobthreadv1.ExecuteRequest{Key: reserved.Msg.GetKey(), Service: deployer.Bookings}))
+			assert.NilError(t, err)
+			assert.Equal(t, outcome.Msg.GetStatus(), carobthreadv1.ExecutionStatus_EXECUTION_STATUS_DONE, outcome.Msg.GetReason())
+		}
+	}
+	assert.Equal(t, draining[0].Calls()+draining[1].Calls(), before)
+}
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -42,6 +42,7 @@
 	slots   chan struct{}
 	running atomic.Int64
 	queued  atomic.Int64
+	calls   atomic.Int64
 
 	mutex     sync.Mutex
 	random    *rand.Rand
@@ -108,6 +109,9 @@
 	searcher.layouts = slices.Clone(layouts)
 }
 
+// Calls returns the number of requests that arrived, whether they ran or not; reports do not count.
+func (searcher *Searcher) Calls() int64 { return searcher.calls.Load() }
+
 // Runs returns how often the request of a key was run.
 func (searcher *Searcher) Runs(key string) int {
 	searcher.mutex.Lock()
@@ -117,6 +121,7 @@
 
 // SearchShard answers with hits that depend on the query, shard and snapshot alone.
 func (searcher *Searcher) SearchShard(ctx context.Context, request *connect.Request[carobthreadv1.SearchShardRequest]) (*connect.Response[carobthreadv1.SearchShardResponse], error) {
+	searcher.calls.Add(1)
 	message := request.Msg
 	response := &carobthreadv1.SearchShardResponse{
 		Attempt: message.GetAttempt(),
@@ -219,6 +224,7 @@
 
 // Run performs a request that may not be repeated and counts it by key.
 func (searcher *Searcher) Run(ctx context.Context, request *connect.Request[carobthreadv1.RunRequest]) (*connect.Response[carobthreadv1.RunResponse], error) {
+	searcher.calls.Add(1)
 	message := request.Msg
 	searcher.mutex.Lock()
 	draining := searcher.draining
