Test the query core with scripts and random events

Change: scripts in gatherer/testdata/scripts guard against one failure each; a property test drives random events, with changing configurations, wrong, late and duplicate replies, pauses and draining searchers, checks every action against a model and replays the events. Draining signs now outlive a short absence of a searcher from the configuration, waiting attempts are served when the configuration changes, and due queries are ended before a new one is planned; the tests found the first two.

Before: no tests.

--- a/gatherer/bench_test.go
+++ b/gatherer/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,11 @@
 	return config
 }
 
+func withoutSearcher(config carobthread.Config, name string) carobthread.Config {
+	config.Searchers = slices.DeleteFunc(config.Searchers, func(searcher carobthread.Searcher) bool { return searcher.Name == name })
+	return config
+}
+
 // BenchmarkDecision measures one sub-request: its share of the arrival, its reply and its share of the answer.
 func BenchmarkDecision(b *testing.B) {
 	for _, fanOut := range []int{10, 30, 120} {
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -29,6 +29,8 @@
 	gatherer.capEjections()
 	gatherer.configured = true
 	gatherer.connect()
+	gatherer.runTimers()
+	gatherer.pumpWaiting()
 }
 
 func (gatherer *Gatherer) configureSearchers(searchers []carobthread.Searcher) {
@@ -291,7 +293,9 @@
 	}
 	gatherer.connect()
 	gatherer.searcherList = slices.DeleteFunc(gatherer.searcherList, func(searcher *searcherRow) bool {
-		if searcher.known || searcher.limit.Running() > 0 {
+		// A draining sign outlives a short absence from the configuration.
+		draining := searcher.draining && gatherer.now.Sub(searcher.drainedAt) < drainAge
+		if searcher.known || draining || searcher.limit.Running() > 0 {
 			return false
 		}
 		gatherer.emitConnect(searcher, 0)
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -77,6 +77,8 @@
 	gatherer.now = max(gatherer.now, event.At)
 	switch {
 	case event.Query != nil:
+		gatherer.runTimers()
+		gatherer.pumpFreed()
 		gatherer.arrive(event.Query)
 	case event.Reply != nil:
 		gatherer.reply(event.Reply)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"carobthread"
@@ -113,7 +114,7 @@
 	query.due = query.soft
 	query.open = len(query.current.shards)
 	gatherer.queries[id] = query
-	gatherer.actions = make([]carobthread.Action, 0, query.open+1)
+	gatherer.actions = slices.Grow(gatherer.actions, query.open+1)
 	if cap(gatherer.sends)-len(gatherer.sends) < query.open {
 		gatherer.sends = make([]carobthread.SendAttempt, 0, max(sendChunk, query.open))
 	}
--- /dev/null
+++ b/gatherer/script_test.go
@@ -0,0 +1,236 @@
+package gatherer_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"carobthread"
+	"carobthread/gatherer"
+)
+
+// TestScripts runs the scripts in testdata; each one names the failure that it guards against.
+// Each line of a script is a command, and each line of its output starts with the number of the command.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			run := &script{t: t, now: carobthread.Instant(time.Hour), core: gatherer.New(1, gatherer.Options{})}
+			output := strings.Builder{}
+			for i, line := range strings.Split(strings.TrimSpace(data.Input), "\n") {
+				command := datadriven.TestData{Pos: fmt.Sprintf("%s: line %d", data.Pos, i+1)}
+				var err error
+				if command.Cmd, command.CmdArgs, err = datadriven.ParseLine(line); err != nil {
+					command.Fatalf(t, "%v", err)
+				}
+				for action := range strings.Lines(run.command(&command)) {
+					fmt.Fprintf(&output, "%d %s", i+1, action)
+				}
+			}
+			return output.String()
+		})
+	})
+}
+
+// script drives one gatherer; times in its output count from the start.
+type script struct {
+	t     *testing.T
+	core  *gatherer.Gatherer
+	now   carobthread.Instant
+	sends map[carobthread.AttemptID]*carobthread.SendAttempt
+	query carobthread.QueryID
+}
+
+func (run *script) command(data *datadriven.TestData) string {
+	run.now = run.now.Add(run.span(data, "after"))
+	switch data.Cmd {
+	case "new":
+		run.core = gatherer.New(1, gatherer.Options{RandomReplica: data.HasArg("random"), FirstPolicy: data.HasArg("first")})
+		return ""
+	case "config":
+		output := run.step(carobthread.Event{Config: &carobthread.ConfigChanged{Config: run.config(data)}})
+		return output[:max(0, strings.LastIndex(output, "connect"))]
+	case "view":
+		return run.step(carobthread.Event{View: &carobthread.ViewChanged{View: run.view(data)}})
+	case "warm":
+		run.warm(run.number(data, "queries", 0), run.span(data, "latency"), run.text(data, "fail", ""))
+		return ""
+	case "query":
+		arrived := carobthread.QueryArrived{Query: run.nextQuery(), Service: run.text(data, "service", "matching"), Size: run.number(data, "size", 0)}
+		if data.HasArg("deadline") {
+			arrived.Deadline = run.now.Add(run.span(data, "deadline"))
+		}
+		return run.step(carobthread.Event{Query: &arrived})
+	case "reply":
+		return run.replies(data)
+	case "report":
+		output := ""
+		for _, searcher := range strings.Split(run.text(data, "of", ""), "+") {
+			output += run.step(carobthread.Event{Report: &carobthread.ReportArrived{
+				Searcher: searcher, Healthy: !data.HasArg("ill"), Draining: data.HasArg("draining"), HeldSnapshots: run.held(data),
+			}})
+		}
+		return output
+	case "gone":
+		return run.step(carobthread.Event{Gone: &carobthread.CallerGone{Query: carobthread.QueryID(run.number(data, "query", 0))}})
+	case "tick":
+		return run.step(carobthread.Event{Tick: &carobthread.Ticked{LateMicros: run.span(data, "late").Microseconds()}})
+	case "stats":
+		return run.stats()
+	}
+	data.Fatalf(run.t, "unknown command %s", data.Cmd)
+	return ""
+}
+
+func (run *script) nextQuery() carobthread.QueryID {
+	run.query++
+	return run.query
+}
+
+func (run *script) text(data *datadriven.TestData, key, fallback string) string {
+	data.MaybeScanArgs(run.t, key, &fallback)
+	return fallback
+}
+
+func (run *script) number(data *datadriven.TestData, key string, fallback int) int {
+	data.MaybeScanArgs(run.t, key, &fallback)
+	return fallback
+}
+
+func (run *script) span(data *datadriven.TestData, key string) time.Duration {
+	span, err := time.ParseDuration(run.text(data, key, "0s"))
+	if err != nil {
+		data.Fatalf(run.t, "%v", err)
+	}
+	return span
+}
+
+func (run *script) held(data *datadriven.TestData) []uint64 {
+	held := []uint64{}
+	for _, text := range strings.FieldsFunc(run.text(data, "held", ""), func(char rune) bool { return char == '+' }) {
+		snapshot, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			data.Fatalf(run.t, "%v", err)
+		}
+		held = append(held, snapshot)
+	}
+	return held
+}
+
+// config makes a fleet with two layouts; the second has one more shard on the searchers of the first shard.
+func (run *script) config(data *datadriven.TestData) carobthread.Config {
+	config := fleet(run.number(data, "shards", 1), run.number(data, "slots", 3))
+	config.Services[0].MaxInFlight = run.number(data, "max", 0)
+	config.Services[0].MaxRequestSize = 1000
+	config.Services[0].Layout = uint32(run.number(data, "layout", 1))
+	first := config.Layouts[0].Shards
+	second := carobthread.Layout{Service: "matching", Generation: 2, Shards: append(slices.Clone(first), first[0])}
+	config.Layouts = append(config.Layouts, second)
+	return withoutSearcher(config, run.text(data, "drop", ""))
+}
+
+// view reads hosts=NAME@DATA-CENTRE+...; the first one is this host.
+func (run *script) view(data *datadriven.TestData) carobthread.View {
+	view := carobthread.View{}
+	for _, host := range strings.Split(run.text(data, "hosts", ""), "+") {
+		name, dataCentre, _ := strings.Cut(host, "@")
+		view.Hosts = append(view.Hosts, carobthread.Host{Name: name, DataCentre: dataCentre, State: carobthread.HostLive})
+	}
+	view.Self = view.Hosts[0].Name
+	return view
+}
+
+// warm answers queries one after the other, to fill budgets and quantiles; the searcher named by fail fails.
+func (run *script) warm(queries int, latency time.Duration, fail string) {
+	for range queries {
+		arrived := carobthread.QueryArrived{Query: run.nextQuery(), Service: "matching"}
+		actions := run.core.Step(carobthread.Event{At: run.now, Query: &arrived})
+		run.now = run.now.Add(latency)
+		for i := 0; i < len(actions); i++ {
+			if actions[i].Send == nil {
+				continue
+			}
+			reply := replyTo(actions[i].Send)
+			if actions[i].Send.Searcher == fail {
+				reply.Status = carobthread.ReplyFailed
+			}
+			actions = append(actions, run.core.Step(carobthread.Event{At: run.now, Reply: &reply})...)
+		}
+	}
+}
+
+func replyTo(send *carobthread.SendAttempt) carobthread.ReplyArrived {
+	return carobthread.ReplyArrived{
+		Query: send.Query, Attempt: send.Attempt, Shard: send.Shard, Snapshot: max(1, send.Snapshot),
+		Layout: send.Layout, Status: carobthread.ReplyOK,
+	}
+}
+
+// replies ends the attempts=N+N in order; query, shard, snapshot, layout and status override what the attempt asked for.
+func (run *script) replies(data *datadriven.TestData) string {
+	output := ""
+	for _, text := range strings.Split(run.text(data, "attempts", ""), "+") {
+		id, err := strconv.Atoi(text)
+		if err != nil {
+			data.Fatalf(run.t, "%v", err)
+		}
+		reply := carobthread.ReplyArrived{Attempt: carobthread.AttemptID(id)}
+		if send := run.sends[reply.Attempt]; send != nil {
+			reply = replyTo(send)
+		}
+		reply.Query = carobthread.QueryID(run.number(data, "query", int(reply.Query)))
+		reply.Shard = uint32(run.number(data, "shard", int(reply.Shard)))
+		reply.Snapshot = uint64(run.number(data, "snapshot", int(reply.Snapshot)))
+		reply.Layout = uint32(run.number(data, "layout", int(reply.Layout)))
+		reply.Status = carobthread.ReplyStatus(run.text(data, "status", string(reply.Status)))
+		reply.HeldSnapshots = run.held(data)
+		output += run.step(carobthread.Event{Reply: &reply})
+	}
+	return output
+}
+
+func (run *script) step(event carobthread.Event) string {
+	event.At = run.now
+	return run.format(run.core.Step(event))
+}
+
+// format writes one action a line.
+func (run *script) format(actions []carobthread.Action) string {
+	if run.sends == nil {
+		run.sends = map[carobthread.AttemptID]*carobthread.SendAttempt{}
+	}
+	output, connects := strings.Builder{}, strings.Builder{}
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			send := action.Send
+			run.sends[send.Attempt] = send
+			fmt.Fprintf(&output, "%s %d: query %d to %s snapshot %d layout %d\n", send.Kind, send.Attempt, send.Query, send.Searcher, send.Snapshot, send.Layout)
+		case action.Cancel != nil:
+			fmt.Fprintf(&output, "cancel %d\n", action.Cancel.Attempt)
+		case action.Answer != nil:
+			answer := action.Answer
+			fmt.Fprintf(&output, "answer query %d: %d/%d snapshot %d layout %d merge %v missing %v\n", answer.Query, answer.Coverage.Answered, answer.Coverage.Total, answer.Snapshot, answer.Layout, answer.Merge, answer.Coverage.Missing)
+		case action.Refuse != nil:
+			fmt.Fprintf(&output, "refuse query %d: %s retry after %d us\n", action.Refuse.Query, action.Refuse.Reason, action.Refuse.RetryAfterMicros)
+		case action.Connect != nil:
+			fmt.Fprintf(&connects, " %s=%d", action.Connect.Searcher, action.Connect.Count)
+		}
+	}
+	if connects.Len() > 0 {
+		fmt.Fprintf(&output, "connect%s\n", connects.String())
+	}
+	return output.String()
+}
+
+func (run *script) stats() string {
+	stats := run.core.Stats()
+	return fmt.Sprintf(
+		"late %d duplicate %d misrouted %d moved %d ejected %d capped %d refused %v\n",
+		stats.LateReplies, stats.DuplicateReplies, stats.MisroutedReplies, stats.QueriesMoved, stats.Ejections, stats.EjectionsCapped, stats.Refusals,
+	)
+}
