Check tickets against the platform's objects

Cause: a ticket that changes a part of the state refers to objects of earlier tickets, so checking it alone reports dangling references.

Before: only the files given could define objects.

Conclusion: operators check a change as submit will see it.

--- a/cmd/carobctl/check.go
+++ b/cmd/carobctl/check.go
@@ -1,14 +1,19 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
+	"carobthread"
 	"carobthread/parser"
+	"carobthread/publisher"
+	"carobthread/timer"
 )
 
 type checkCommand struct {
-	Partial    bool `long:"partial" description:"accept references to objects that none of the files defines"`
+	Platform   string `long:"platform" description:"accept references to objects on this platform, http://IP:PORT"`
+	Partial    bool   `long:"partial" description:"accept references to objects that none of the files defines"`
 	Positional struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
@@ -24,9 +29,28 @@
 		}
 		contents[i] = content
 	}
-	findings := parser.Check(command.Positional.Files, contents, command.Partial)
+	known, err := command.known()
+	if err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	findings := parser.Check(command.Positional.Files, contents, known)
 	if len(findings) > 0 {
 		return &usageError{cause: findings}
 	}
 	return nil
 }
+
+// known returns which objects count as defined beside those of the files.
+func (command *checkCommand) known() (func(carobthread.ObjectID) bool, error) {
+	if command.Platform == "" {
+		return func(carobthread.ObjectID) bool { return command.Partial }, nil
+	}
+	client, err := publisher.NewClient(timer.New(), command.Platform)
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	return publisher.Known(ctx, client)
+}
--- a/cmd/carobctl/check_test.go
+++ b/cmd/carobctl/check_test.go
@@ -29,6 +29,9 @@
 		{exitUsage, []string{"submit", "--platform", "https://" + serving.Address(), "testdata/ticket-1.ini"}},
 		{exitUsage, []string{"submit", "--platform", url, "testdata/ticket-2.ini"}},
 		{exitDone, []string{"submit", "--platform", url, "testdata/ticket-1.ini"}},
+		{exitDone, []string{"check", "--platform", url, "testdata/ticket-2.ini"}},
+		{exitUsage, []string{"check", "--platform", "", "testdata/ticket-2.ini"}},
+		{exitUsage, []string{"check", "--platform", "localhost", "testdata/ticket-2.ini"}},
 		{exitDone, []string{"submit", "--json", "--platform", url, "testdata/ticket-2.ini"}},
 		{exitDone, []string{"submit", "--platform", url, "testdata/ticket-1.ini"}}, // a replay changes nothing
 		{exitUsage, []string{"submit", "--platform", url, "testdata/host.ini"}},
--- a/parser/check.go
+++ b/parser/check.go
@@ -1,13 +1,11 @@
 package parser
 
-import (
-	"carobthread"
-)
+import "carobthread"
 
 // Check returns the findings of several files in their order. Each is read as
 // a ticket or as settings according to its sections. A reference of a ticket
-// may be satisfied by any of the tickets; partial accepts the others as well.
-func Check(files []string, contents [][]byte, partial bool) carobthread.Findings {
+// may be satisfied by any of the tickets or by a known object.
+func Check(files []string, contents [][]byte, known func(id carobthread.ObjectID) bool) carobthread.Findings {
 	defined := map[carobthread.ObjectID]bool{}
 	for i, content := range contents {
 		if !IsTicket(content) {
@@ -21,7 +19,7 @@
 	findings := carobthread.Findings{}
 	for i, content := range contents {
 		if IsTicket(content) {
-			_, found := TicketIn(files[i], content, func(id carobthread.ObjectID) bool { return partial || defined[id] })
+			_, found := TicketIn(files[i], content, func(id carobthread.ObjectID) bool { return defined[id] || known(id) })
 			findings = append(findings, found...)
 			continue
 		}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -63,6 +63,15 @@
 	return Result{Ticket: ticket.Number, Changed: true}, nil
 }
 
+// Known returns a function that reports whether the platform's index names an object.
+func Known(ctx context.Context, store Store) (func(id carobthread.ObjectID) bool, error) {
+	index, _, err := readIndex(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	return func(id carobthread.ObjectID) bool { return index.Numbers[id] > 0 }, nil
+}
+
 // compare returns why the ticket would change nothing, or findings when its number is taken by other content.
 func (submission *submission) compare(ctx context.Context) (string, error) {
 	number := submission.ticket.Number
