End a quiet watch of the stand-in platform on its own clock

Cause: an unchanged watch now ends with its revision, but the stand-in used without HTTP waited until its context ended, and over HTTP it used the system's clock instead of its own.

Change: Platform.Watch ends after 30 s on the platform's timer, and the HTTP side answers 304 for it. The test of the unchanged watch runs the client against the stand-in instead of a handler that always answers 304; it still asks for the value, the revision and a single call, and now also for a single call counted by the platform.

Before: a quiet watch without HTTP never ended.

Conclusion: virtual-time tests can use quiet watches.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,6 +10,7 @@
 
 	"carobthread"
 	"carobthread/parser"
+	"carobthread/watcher"
 )
 
 // The stand-in platform keeps values with revisions that only rise, over all
@@ -91,11 +92,13 @@
 	return value, err
 }
 
-// Watch waits until the revision of a key differs; the wait is one call.
+// Watch waits until the revision of a key differs, or ends with the given revision after 30 s; the wait is one call.
 func (platform *Platform) Watch(ctx context.Context, key string, revision uint64) (carobthread.Value, error) {
 	if err := platform.enter(ctx, key); err != nil {
 		return carobthread.Value{}, err
 	}
+	quiet, cancel := platform.after(watcher.WatchTime)
+	defer cancel()
 	for {
 		value, changed, err := platform.seen(key)
 		if err != nil && !isMissing(err) {
@@ -106,12 +109,24 @@
 		}
 		select {
 		case <-changed:
+		case <-quiet:
+			return carobthread.Value{Key: key, Revision: revision}, nil
 		case <-ctx.Done():
 			return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: ctx.Err()}
 		}
 	}
 }
 
+// after returns a channel that closes when the span has passed; cancel must be called.
+func (platform *Platform) after(span time.Duration) (passed <-chan struct{}, cancel func()) {
+	closing := make(chan struct{})
+	var once sync.Once
+	cancel = platform.options.Timer.Subscribe(span, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
+		once.Do(func() { close(closing) })
+	}))
+	return closing, cancel
+}
+
 func isMissing(err error) bool {
 	var failure *carobthread.PlatformError
 	return errors.As(err, &failure) && failure.Missing
@@ -125,11 +140,7 @@
 	if platform.options.Latency == 0 {
 		return nil
 	}
-	passed := make(chan struct{})
-	var once sync.Once
-	cancel := platform.options.Timer.Subscribe(platform.options.Latency, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
-		once.Do(func() { close(passed) })
-	}))
+	passed, cancel := platform.after(platform.options.Latency)
 	defer cancel()
 	select {
 	case <-passed:
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"carobthread"
 	"carobthread/parser"
@@ -21,8 +20,6 @@
 	platform *Platform
 	server   *http.Server
 	address  string
-	// watchTime is how long a watch is held before it is answered with 304.
-	watchTime time.Duration
 }
 
 // ServePlatform serves a platform on an IP:PORT; port 0 takes a free one.
@@ -31,7 +28,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for the platform: %w", err)
 	}
-	serving := &PlatformServer{platform: platform, address: listener.Addr().String(), watchTime: watcher.WatchTime}
+	serving := &PlatformServer{platform: platform, address: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/values/{key...}", serving.read)
 	mux.HandleFunc("GET /v1/watch/{key...}", serving.watch)
@@ -58,10 +55,8 @@
 		http.Error(writer, "malformed revision", http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), serving.watchTime)
-	defer cancel()
-	value, err := serving.platform.Watch(ctx, request.PathValue("key"), revision)
-	if errors.Is(err, context.DeadlineExceeded) {
+	value, err := serving.platform.Watch(request.Context(), request.PathValue("key"), revision)
+	if err == nil && value.Revision == revision {
 		writer.WriteHeader(http.StatusNotModified)
 		return
 	}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -200,14 +200,26 @@
 
 // Guards against a quiet platform that looks like a failing one: an unchanged watch must end without an error.
 func TestUnchangedWatchKeepsItsRevision(t *testing.T) {
-	quiet := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		writer.WriteHeader(http.StatusNotModified)
-	}))
-	defer quiet.Close()
-	client := watcher.New(timer.New(), watcher.Options{Address: quiet.Listener.Addr().String()})
-	defer client.Close()
-	value, err := client.Watch(context.Background(), "index", 7)
+	bench := start(t, watcher.Options{})
+	revision, err := bench.platform.Put("index", []byte("x"))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, value, carobthread.Value{Key: "index", Revision: 7})
-	assert.Equal(t, client.Stats().Calls, uint64(1))
+	watched := make(chan error, 1)
+	var value carobthread.Value
+	go func() {
+		var err error
+		value, err = bench.watcher.Watch(context.Background(), "index", revision)
+		watched <- err
+	}()
+	for ended := false; !ended; { // the watch may begin after any of the advances
+		select {
+		case err := <-watched:
+			assert.NilError(t, err)
+			ended = true
+		default:
+			bench.manual.Advance(watcher.WatchTime)
+		}
+	}
+	assert.DeepEqual(t, value, carobthread.Value{Key: "index", Revision: revision})
+	assert.Equal(t, bench.watcher.Stats().Calls, uint64(1))
+	assert.Equal(t, bench.platform.Calls(), uint64(1))
 }
