Add carobctl capacity, packed objects and fuzz tests of peer messages

Cause: the control budget of 2.1% of a core, 256 MB, 3 KB/s, 2,000 platform calls/s and 4 s has to be checked at 6,900 hosts, which do not fit into one process, and peer messages come from outside the process.

Change: estimator measures fleets of 4 to 200 hosts and a pair of hosts with tables of the target's size, fits lines with standard errors and extends them; carobctl capacity prints this and exits with 1 for a broken line. Traffic is extended over log2(hosts), since neighbours, children and exchanges are bounded and only tree depth and repeats of rumours grow; the line over hosts is printed beside it. A reader decodes only the lines of the index that changed, since decoding 32,000 lines took about a quarter of a second.

--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -12,6 +12,7 @@
 // commands lists the subcommands; each one stands in a file of its own.
 func commands() []command {
 	return []command{
+		{name: "capacity", short: "Extend the measured control traffic to the target size.", runner: &capacityCommand{}},
 		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
--- a/estimator/fleet.go
+++ b/estimator/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/timer"
 )
 
 // start is the virtual time at which fleets begin: 2026-01-01T00:00:00Z.
@@ -39,6 +40,9 @@
 	nodes   []*node
 	byName  map[string]*node
 	network network
+	// stepTime is the real time spent in the cores, for the figure of CPU.
+	clock    carobthread.Timer
+	stepTime time.Duration
 	// measuredFrom is when the load began to be counted.
 	measuredFrom carobthread.Instant
 	platform     *platform
@@ -51,7 +55,7 @@
 // NewFleet returns a fleet whose hosts all start within the first second.
 func NewFleet(settings Settings) *Fleet {
 	fleet := &Fleet{
-		settings: settings, now: start, byName: map[string]*node{},
+		settings: settings, now: start, byName: map[string]*node{}, clock: timer.New(),
 		random: rand.New(rand.NewPCG(settings.Seed, uint64(settings.Hosts))),
 	}
 	fleet.network.links = map[[2]string]carobthread.Instant{}
--- a/estimator/node.go
+++ b/estimator/node.go
@@ -100,7 +100,10 @@
 func (node *node) step(event relayer.Event) *relayer.Respond {
 	event.At = node.fleet.now
 	var response *relayer.Respond
-	for _, action := range node.core.Step(event) {
+	before := node.fleet.clock.Now()
+	actions := node.core.Step(event)
+	node.fleet.stepTime += node.fleet.clock.Now().Sub(before)
+	for _, action := range actions {
 		if action.Respond != nil {
 			response = action.Respond
 			continue
@@ -130,7 +133,7 @@
 	case action.Conflict != nil:
 		node.fleet.violate("%s reports a conflict of %s", node.host.Name, action.Conflict.ID)
 	case action.Finding != nil:
-		node.fleet.violate("%s cannot read %s: %v", node.host.Name, action.Finding.Key, action.Finding.Cause)
+		node.fleet.violate("%s cannot read %s: %v", node.host.Name, action.Finding.Source, action.Finding.Cause)
 	case action.Stop != nil:
 		node.fleet.violate("%s was superseded", node.host.Name)
 	}
@@ -249,11 +252,14 @@
 	fleet.byName[name].step(relayer.Event{Searcher: &tracker.SearcherSeen{Searcher: searcher, Leaving: true}})
 }
 
-// Reader returns the first reader of a data centre as its live hosts see it.
+// Reader returns the reader in charge of a data centre as its live hosts see it.
 func (fleet *Fleet) Reader(centre string) (string, error) {
 	for _, node := range fleet.nodes {
-		if node.alive && node.host.DataCentre == centre && node.core.Status().Reader {
-			return node.host.Name, nil
+		if !node.alive || node.host.DataCentre != centre {
+			continue
+		}
+		if readers := node.core.Readers(centre); len(readers) > 0 && fleet.byName[readers[0]].alive {
+			return readers[0], nil
 		}
 	}
 	return "", errors.New("no reader in " + centre)
--- a/estimator/platform.go
+++ b/estimator/platform.go
@@ -71,9 +71,9 @@
 	return ticket
 }
 
-// publishSearchers publishes the first state, up to 100 searchers a ticket.
+// publishSearchers publishes the first state in tickets of ten searchers.
 func (platform *platform) publishSearchers(count int) {
-	const perTicket = 100
+	const perTicket = 10
 	for first := 0; first < count; first += perTicket {
 		var objects []carobthread.Object
 		for i := first; i < min(first+perTicket, count); i++ {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -206,3 +206,21 @@
 		assert.Equal(t, count.Bytes, size*count.Messages, "%s", count.Direction)
 	}
 }
+
+// Guards against a frame that stops the host or is read beyond its length.
+func FuzzFrame(f *testing.F) {
+	request, err := messenger.EncodeRequest(1, "echo", 5, map[string]int{"x": 1})
+	assert.NilError(f, err)
+	reply, err := messenger.EncodeReply(1, "x")
+	assert.NilError(f, err)
+	f.Add(request)
+	f.Add(reply)
+	f.Add([]byte("\x02[]"))
+	f.Add([]byte("\xff\xff\xff\xff\xff\x0f{}"))
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		if method, body, err := messenger.DecodeRequest(frame); err == nil {
+			assert.Assert(t, len(method)+len(body) <= 2*len(frame))
+		}
+		_, _ = messenger.DecodeReply(frame)
+	})
+}
--- a/relayer/event.go
+++ b/relayer/event.go
@@ -67,7 +67,7 @@
 	// Refused, Conflict and Finding report content that did not take effect.
 	Refused  *applier.Refusal
 	Conflict *applier.Conflict
-	Finding  *PlatformFinding
+	Finding  *Finding
 	Stop     *Superseded
 }
 
@@ -110,10 +110,10 @@
 	Source  string
 }
 
-// PlatformFinding is a value of the platform that cannot be used.
-type PlatformFinding struct {
-	Key   string
-	Cause error
+// Finding is a platform value, named by its key, or a peer's message that cannot be used.
+type Finding struct {
+	Source string
+	Cause  error
 }
 
 // Superseded says that a later incarnation of this host runs, so this process must end.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -80,7 +80,7 @@
 	answer.Gossip = relayer.tracked.Answer(from, relayer.audience(from), request.Gossip)
 	// A host without any state fetches it whole.
 	if request.Highest != 0 && answer.Highest > request.Highest {
-		answer.Objects = relayer.encoded(relayer.recent.above(request.Highest), maxRepairSize)
+		answer.Objects = Pack(relayer.encoded(relayer.recent.above(request.Highest), maxRepairSize))
 	}
 	return answer
 }
@@ -88,7 +88,7 @@
 func (relayer *Relayer) exchanged(peer string, answer Exchange) {
 	relayer.received(peer, answer.Gossip)
 	far := relayer.audience(peer) == tracker.Far
-	activated := relayer.offer(peer, answer.Objects)
+	activated := relayer.offerPacked(peer, answer.Objects)
 	if far && len(activated) > 0 {
 		relayer.pushEntries(activated)
 	}
@@ -100,7 +100,7 @@
 	case own.Highest > answer.Highest:
 		objects := relayer.encoded(relayer.recent.above(answer.Highest), maxRepairSize)
 		if len(objects) > 0 {
-			call(relayer, peer, MethodPush, Push{Objects: objects}, pushTimeout, func(*Pushed) {})
+			call(relayer, peer, MethodPush, Push{Objects: Pack(objects)}, pushTimeout, func(*Pushed) {})
 		}
 	case relayer.now >= relayer.compareDue:
 		relayer.compareDue = relayer.now.Add(comparePeriod)
@@ -141,7 +141,7 @@
 		for i, id := range difference.Newer {
 			newer[i] = Entry{ID: id}
 		}
-		call(relayer, peer, MethodPush, Push{Objects: relayer.encoded(newer, maxRepairSize)}, pushTimeout, func(*Pushed) {})
+		call(relayer, peer, MethodPush, Push{Objects: Pack(relayer.encoded(newer, maxRepairSize))}, pushTimeout, func(*Pushed) {})
 	}
 	if len(difference.Missing) > 0 {
 		relayer.fetchNamed(peer, difference.Missing)
@@ -156,7 +156,7 @@
 		if answer == nil {
 			return
 		}
-		activated := relayer.offer(peer, answer.Objects)
+		activated := relayer.offerPacked(peer, answer.Objects)
 		if relayer.audience(peer) == tracker.Far && len(activated) > 0 {
 			relayer.pushEntries(activated)
 		}
--- a/relayer/messages.go
+++ b/relayer/messages.go
@@ -28,16 +28,16 @@
 	Root    uint64 `json:"root"`
 	// FreshMicros is the last time at which the state in force was known to be what the platform holds.
 	FreshMicros int64 `json:"fresh-us,omitempty"`
-	// Objects holds, in an answer, the objects of tickets above the asking host's highest.
-	Objects [][]byte `json:"objects,omitempty"`
+	// Objects holds, in an answer, the packed objects of tickets above the asking host's highest.
+	Objects []byte `json:"objects,omitempty"`
 }
 
-// Push carries new objects and marks; with a Root it is passed on along the root's tree.
+// Push carries new packed objects and marks; with a Root it is passed on along the root's tree.
 type Push struct {
 	Root     string         `json:"root,omitempty"`
 	Sequence uint64         `json:"sequence,omitempty"`
 	Hops     int            `json:"hops,omitempty"`
-	Objects  [][]byte       `json:"objects,omitempty"`
+	Objects  []byte         `json:"objects,omitempty"`
 	Marks    []tracker.Mark `json:"marks,omitempty"`
 }
 
@@ -63,8 +63,8 @@
 
 // Fetched answers a Fetch; Next is the cursor of the rest, or 0 at the end.
 type Fetched struct {
-	Objects [][]byte `json:"objects"`
-	Next    int      `json:"next,omitempty"`
+	Objects []byte `json:"objects"`
+	Next    int    `json:"next,omitempty"`
 }
 
 // Compare carries the hash of each bucket, to find objects that differ.
--- /dev/null
+++ b/relayer/pack.go
@@ -0,0 +1,60 @@
+package relayer
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxUnpacked bounds what one message may expand to; a fetched bucket above
+// maxFetchSize and a value of 1 MB fit into it.
+const maxUnpacked = 8 << 20
+
+// Pack compresses objects, each after its length, since the objects of a state
+// repeat most of their text. Hosts that pass a push on send the bytes as they are.
+func Pack(objects [][]byte) []byte {
+	if len(objects) == 0 {
+		return nil
+	}
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.DefaultCompression)
+	if err != nil {
+		panic(err) // only for an unknown level
+	}
+	for _, object := range objects {
+		// Writes to a buffer do not fail.
+		_, _ = writer.Write(binary.AppendUvarint(nil, uint64(len(object))))
+		_, _ = writer.Write(object)
+	}
+	_ = writer.Close()
+	return packed.Bytes()
+}
+
+// unpack reverses Pack; it fails on malformed or oversized input.
+func unpack(packed []byte) ([][]byte, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	reader := flate.NewReader(bytes.NewReader(packed))
+	content, err := io.ReadAll(io.LimitReader(reader, maxUnpacked+1))
+	if err != nil {
+		return nil, fmt.Errorf("unpack objects: %w", err)
+	}
+	if len(content) > maxUnpacked {
+		return nil, fmt.Errorf("unpack objects: more than %d bytes", maxUnpacked)
+	}
+	var objects [][]byte
+	for len(content) > 0 {
+		length, prefix := binary.Uvarint(content)
+		if prefix <= 0 || length > uint64(len(content)-prefix) {
+			return nil, errors.New("unpack objects: malformed length")
+		}
+		end := prefix + int(length)
+		objects = append(objects, content[prefix:end:end])
+		content = content[end:]
+	}
+	return objects, nil
+}
--- a/relayer/push.go
+++ b/relayer/push.go
@@ -58,7 +58,7 @@
 			return
 		}
 		entries = entries[min(len(objects), len(entries)):]
-		relayer.pushFromHere(Push{Objects: objects})
+		relayer.pushFromHere(Push{Objects: Pack(objects)})
 	}
 }
 
@@ -93,7 +93,7 @@
 	if push.Root != "" && !relayer.pusher.firstSight(pushKey{root: push.Root, sequence: push.Sequence}) {
 		return Pushed{}
 	}
-	activated := relayer.offer(from, push.Objects)
+	activated := relayer.offerPacked(from, push.Objects)
 	switch push.Root {
 	case "":
 		// A repair from another data centre brings news to this one.
--- a/relayer/reader.go
+++ b/relayer/reader.go
@@ -16,7 +16,7 @@
 
 const (
 	watchTimeout     = 30 * time.Second
-	readTimeout      = 2 * time.Second
+	readTimeout      = time.Second // a starting host waits as long for a platform that is down
 	platformBackoff  = 500 * time.Millisecond
 	platformMost     = 4 * time.Second
 	maxParallelReads = 16
@@ -158,7 +158,7 @@
 	relayer.start.hostsKnown = true
 	hosts, err := relayer.options.DecodeHosts(content)
 	if err != nil {
-		relayer.act(Action{Finding: &PlatformFinding{Key: parser.HostsKey, Cause: err}})
+		relayer.act(Action{Finding: &Finding{Source: parser.HostsKey, Cause: err}})
 		return
 	}
 	relayer.track(tracker.Event{List: &tracker.HostsListed{Hosts: hosts}})
@@ -175,18 +175,22 @@
 
 // missing returns the objects to read for an index, and notes whether the state is current.
 func (relayer *Relayer) missing(index []byte) []carobthread.ObjectID {
-	ids, revision, covered, err := relayer.state.missing(index)
+	found, err := relayer.state.compareIndex(index)
+	relayer.noteIndex(found, err)
+	return found.wanted
+}
+
+func (relayer *Relayer) noteIndex(found indexed, err error) {
 	if err != nil {
-		relayer.act(Action{Finding: &PlatformFinding{Key: parser.IndexKey, Cause: err}})
-		return nil
+		relayer.act(Action{Finding: &Finding{Source: parser.IndexKey, Cause: err}})
+		return
 	}
 	// An index that has gone back says nothing about what is current.
-	relayer.reader.covered = covered && revision >= relayer.reader.highestRevision
-	relayer.reader.highestRevision = max(relayer.reader.highestRevision, revision)
+	relayer.reader.covered = found.covered && found.revision >= relayer.reader.highestRevision
+	relayer.reader.highestRevision = max(relayer.reader.highestRevision, found.revision)
 	if relayer.reader.covered {
 		relayer.confirm(SourcePlatform, relayer.now)
 	}
-	return ids
 }
 
 // want reads objects from the platform, a bounded number at a time.
@@ -220,9 +224,8 @@
 	got := relayer.reader.got
 	relayer.reader.got = nil
 	activated := relayer.offer(SourcePlatform, got)
-	if len(relayer.reader.lost) == 0 && len(activated) > 0 {
-		relayer.reader.covered = true
-		relayer.confirm(SourcePlatform, relayer.now)
+	if len(activated) > 0 {
+		relayer.noteIndex(relayer.state.recheck())
 	}
 	if relayer.start.ready && len(activated) > 0 {
 		relayer.pushRead(activated)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -235,6 +235,16 @@
 	return tracker.Far
 }
 
+// offerPacked offers the objects of a message; a message that cannot be unpacked gives none.
+func (relayer *Relayer) offerPacked(source string, packed []byte) []Entry {
+	objects, err := unpack(packed)
+	if err != nil {
+		relayer.act(Action{Finding: &Finding{Source: source, Cause: err}})
+		return nil
+	}
+	return relayer.offer(source, objects)
+}
+
 // offer gives objects to the state and reports what became active.
 func (relayer *Relayer) offer(source string, objects [][]byte) []Entry {
 	if len(objects) == 0 {
--- a/relayer/start.go
+++ b/relayer/start.go
@@ -169,7 +169,7 @@
 		if answer == nil {
 			return
 		}
-		relayer.offer(peer, answer.Objects)
+		relayer.offerPacked(peer, answer.Objects)
 		if answer.Next > cursor {
 			relayer.fetch(peer, answer.Next)
 			return
@@ -180,20 +180,21 @@
 }
 
 func (relayer *Relayer) serveFetch(_ string, request Fetch) Fetched {
-	answer := Fetched{Objects: [][]byte{}}
+	var answer Fetched
 	if len(request.IDs) > 0 {
 		entries := make([]Entry, len(request.IDs))
 		for i, id := range request.IDs {
 			entries[i] = Entry{ID: id}
 		}
-		answer.Objects = append(answer.Objects, relayer.encoded(entries, maxFetchSize)...)
+		answer.Objects = Pack(relayer.encoded(entries, maxFetchSize))
 		return answer
 	}
+	var objects [][]byte
 	size := 0
 	for bucket := max(0, request.Cursor); bucket < applier.Buckets; bucket++ {
 		for _, entry := range relayer.state.Entries([]int{bucket}) {
 			content := relayer.state.Objects([]carobthread.ObjectID{entry.ID})
-			answer.Objects = append(answer.Objects, content...)
+			objects = append(objects, content...)
 			size += len(content[0])
 		}
 		if size >= maxFetchSize && bucket+1 < applier.Buckets {
@@ -201,5 +202,6 @@
 			break
 		}
 	}
+	answer.Objects = Pack(objects)
 	return answer
 }
--- a/relayer/status.go
+++ b/relayer/status.go
@@ -37,5 +37,8 @@
 // Ready reports whether the host has a state to serve with.
 func (relayer *Relayer) Ready() bool { return relayer.start.ready }
 
+// Readers returns the readers of a data centre as this host sees them, the first in charge first.
+func (relayer *Relayer) Readers(centre string) []string { return relayer.roles.Readers(centre) }
+
 // View returns the hosts as the tracker sees them now.
 func (relayer *Relayer) View() carobthread.View { return relayer.tracked.View() }
