--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -13,6 +13,7 @@
 func commands() []command {
 	return []command{
 		{name: "check", short: "Check settings and tickets.", runner: &checkCommand{}},
+		{name: "capacity", short: "Extend the measured control traffic to the target size.", runner: &capacityCommand{}},
 		{name: "demo", short: "Run the main job on embedded stand-ins.", runner: &demoCommand{}},
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
--- a/server/control.go
+++ b/server/control.go
@@ -148,7 +148,7 @@
 	case action.Conflict != nil:
 		logger.Warn().Interface("conflict", action.Conflict).Msg("ticket number published with two contents")
 	case action.Finding != nil:
-		logger.Warn().Str("key", action.Finding.Key).AnErr("cause", action.Finding.Cause).Msg("platform value cannot be used")
+		logger.Warn().Str("source", action.Finding.Source).AnErr("cause", action.Finding.Cause).Msg("content of the platform or a peer cannot be used")
 	}
 }
 
