--- a/bencher/check.go
+++ b/bencher/check.go
@@ -101,10 +101,7 @@
 		}
 	}
 	for i := range runs {
-		switch {
-		case runs[i].DeadlineMedians > 0:
-			runs[i].Scenario = runs[i].Scenario.Brief()
-		case len(runs[i].Faults) > 1:
+		if len(runs[i].Faults) > 1 || runs[i].DeadlineMedians > 0 {
 			runs[i].Scenario = runs[i].Scenario.Short()
 		}
 	}
--- a/bencher/checker.go
+++ b/bencher/checker.go
@@ -18,6 +18,7 @@
 	WrongAge         Invariant = "wrong-age"
 	MisroutedReply   Invariant = "misrouted-reply"
 	WrongReplica     Invariant = "wrong-replica"
+	ReusedAttempt    Invariant = "reused-attempt"
 	LateAttempt      Invariant = "late-attempt"
 	OverSlots        Invariant = "over-slots"
 	RefusedAfterSend Invariant = "refused-after-send"
@@ -30,7 +31,7 @@
 // Invariants returns all invariants in the order of the report.
 func Invariants() []Invariant {
 	return []Invariant{
-		MixedSnapshot, MixedLayout, WrongCoverage, WrongAge, MisroutedReply, WrongReplica, LateAttempt,
+		MixedSnapshot, MixedLayout, WrongCoverage, WrongAge, MisroutedReply, WrongReplica, ReusedAttempt, LateAttempt,
 		OverSlots, RefusedAfterSend, DrainingWork, UnexpectedAnswer, Unanswered, RepeatedExecute,
 	}
 }
@@ -126,7 +127,7 @@
 	}
 	delete(checker.queries, id)
 	for _, attempt := range query.attempts {
-		if !checker.attempts[attempt].flying {
+		if known := checker.attempts[attempt]; known != nil && !known.flying {
 			delete(checker.attempts, attempt)
 		}
 	}
@@ -161,6 +162,7 @@
 	checker.count(LateAttempt, now >= query.deadline || send.Deadline > query.deadline)
 	checker.count(RepeatedExecute, checker.execute && !checker.allNotRun(query))
 	checker.count(WrongReplica, !slices.Contains(checker.replicas(send), send.Searcher))
+	checker.count(ReusedAttempt, checker.attempts[send.Attempt] != nil)
 	query.attempts = append(query.attempts, send.Attempt)
 	checker.attempts[send.Attempt] = &checkedAttempt{
 		query:    send.Query,
--- a/bencher/report.go
+++ b/bencher/report.go
@@ -102,7 +102,7 @@
 	repeated := []Run{}
 	for _, run := range runs {
 		for _, median := range medians {
-			run.Scenario = run.Scenario.Brief().WithDeadline(median)
+			run.Scenario = run.Scenario.Short().WithDeadline(median)
 			repeated = append(repeated, run)
 		}
 	}
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -78,7 +78,6 @@
 	greece := Scenario{CentreDelay: 500 * time.Microsecond, ClientDelay: time.Millisecond}
 	target := fanOut(greece, "target-fan-out", 120, carobthread.LatencyFirst)
 	target = target.Short()
-	target.Measured = 3 * time.Second
 	return []Scenario{
 		fanOut(kerala, "kerala-matching", 10, carobthread.LatencyFirst),
 		fanOut(kerala, "kerala-roster", 15, carobthread.LatencyFirst),
@@ -135,15 +134,9 @@
 	return base
 }
 
-// Short returns the scenario with less time, as the check uses it for pairs of faults.
+// Short returns the scenario with the least time in which every fault still shows.
 func (scenario Scenario) Short() Scenario {
-	scenario.WarmUp, scenario.Measured, scenario.FaultSpan = time.Second, 4*time.Second, shortFaultSpan
-	return scenario
-}
-
-// Brief returns the scenario with the least time in which faults still show, for checks of many variants.
-func (scenario Scenario) Brief() Scenario {
-	scenario.WarmUp, scenario.Measured, scenario.FaultSpan = time.Second, 2*time.Second, 2*time.Second
+	scenario.WarmUp, scenario.Measured, scenario.FaultSpan = time.Second, shortFaultSpan, shortFaultSpan
 	return scenario
 }
 
