Add recorder: trace files and carobctl replay

Cause: a decision seen in production or in the benchmark could not be repeated, and a change of the core could alter decisions unnoticed.

--- a/bencher/check_test.go
+++ b/bencher/check_test.go
@@ -8,6 +8,7 @@
 
 	"carobthread"
 	"carobthread/bencher"
+	"carobthread/gatherer"
 )
 
 // TestInvariantsUnderPairsOfFaults guards against answers, coverage, limits and drains that break when two faults meet.
@@ -146,7 +147,9 @@
 	scenario, _ := bencher.FindScenario("kerala-matching")
 	for invariant, spoil := range spoils {
 		run := bencher.Run{Scenario: scenario.Sample(), Policy: bencher.Policies()[0], Seed: 1}
-		run.Wrap = func(decider carobthread.Decider) carobthread.Decider { return spoiledCore{decider, spoil} }
+		run.Wrap = func(_ uint64, _ gatherer.Options, decider carobthread.Decider) carobthread.Decider {
+			return spoiledCore{decider, spoil}
+		}
 		assert.Assert(t, run.Execute().Broken[invariant] > 0, "%s", invariant)
 	}
 }
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -160,9 +160,9 @@
 		scenario.Searchers = scenario.Shards * replicasOfShard
 	}
 	scenario.WarmUp = 200 * time.Millisecond
-	scenario.Measured = 2500 * time.Millisecond
-	scenario.FaultSpan = 1500 * time.Millisecond
-	scenario.Rate = 12
+	scenario.Measured = 3 * time.Second
+	scenario.FaultSpan = 2400 * time.Millisecond // longer than the lag of the view
+	scenario.Rate = 50
 	scenario.Tick = sampleTick
 	return scenario
 }
--- a/bencher/selection.go
+++ b/bencher/selection.go
@@ -17,6 +17,8 @@
 	Seeds []uint64
 	// DeadlineMedians replaces the deadlines of the scenarios if it is not 0.
 	DeadlineMedians float64
+	// Sample takes a small variant of each scenario.
+	Sample bool
 }
 
 // Runs returns the runs of the selection, the policies of one scenario, fault and seed next to each other.
@@ -35,6 +37,9 @@
 	}
 	runs := []Run{}
 	for _, scenario := range scenarios {
+		if selection.Sample {
+			scenario = scenario.Sample()
+		}
 		if selection.DeadlineMedians > 0 {
 			scenario = scenario.WithDeadline(selection.DeadlineMedians)
 		}
--- a/bencher/simulation.go
+++ b/bencher/simulation.go
@@ -55,8 +55,8 @@
 	Seed     uint64
 	// DeadlineMedians tells runs apart whose scenario has a deadline of its own.
 	DeadlineMedians float64
-	// Wrap replaces the core of the first host by one that wraps it.
-	Wrap func(decider carobthread.Decider) carobthread.Decider
+	// Wrap replaces the core of the first host, made with that seed and those options, by one that wraps it.
+	Wrap func(seed uint64, options gatherer.Options, decider carobthread.Decider) carobthread.Decider
 }
 
 // simulation is the state of one run.
@@ -131,9 +131,10 @@
 		simulation.addSearcher(service, fmt.Sprintf("searcher-%03d", i), dataCentres()[i%len(dataCentres())])
 	}
 	for i, centre := range hostCentres() {
-		var decider carobthread.Decider = gatherer.New(run.Seed*100+uint64(i), run.Policy.Options)
+		seed := run.Seed*100 + uint64(i)
+		var decider carobthread.Decider = gatherer.New(seed, run.Policy.Options)
 		if i == 0 && run.Wrap != nil {
-			decider = run.Wrap(decider)
+			decider = run.Wrap(seed, run.Policy.Options, decider)
 		}
 		simulation.addHost(fmt.Sprintf("host-%d", i), centre, decider)
 	}
--- a/cmd/carobctl/bench.go
+++ b/cmd/carobctl/bench.go
@@ -1,11 +1,16 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
+	"carobthread"
 	"carobthread/bencher"
+	"carobthread/gatherer"
+	"carobthread/recorder"
 )
 
 // benchCommand measures the query path on virtual time.
@@ -14,6 +19,8 @@
 	Fault    []string `long:"fault" value-name:"NAME[,NAME]" description:"faults to combine; may be repeated (default: none and each single fault)"`
 	Seed     []uint64 `long:"seed" value-name:"N" description:"seed of a run; may be repeated (default: 1)"`
 	Deadline float64  `long:"deadline-medians" value-name:"N" description:"replace the deadlines by N median latencies"`
+	Record   string   `long:"record" value-name:"FILE" description:"record a trace of the first host in one run of the current policy"`
+	Sample   bool     `long:"sample" description:"run a small scenario with few requests"`
 	Output   string   `long:"output" value-name:"DIR" description:"write a report with plots to the directory"`
 	Check    bool     `long:"check" description:"compare with the stated bounds; exit with 1 if one is broken"`
 	JSON     bool     `long:"json" description:"print results as JSON lines"`
@@ -28,10 +35,13 @@
 	if command.List {
 		return bencher.WriteList(os.Stdout)
 	}
-	selection := bencher.Selection{Scenarios: command.Scenario, Faults: command.Fault, Seeds: command.Seed, DeadlineMedians: command.Deadline}
+	selection := bencher.Selection{Scenarios: command.Scenario, Faults: command.Fault, Seeds: command.Seed, DeadlineMedians: command.Deadline, Sample: command.Sample}
 	if command.Check {
 		return command.check(selection)
 	}
+	if command.Record != "" {
+		return command.record(selection)
+	}
 	runs, err := selection.Runs(bencher.Policies())
 	if err != nil {
 		return &usageError{err}
@@ -73,6 +83,32 @@
 	return nil
 }
 
+// record writes the trace of one run.
+func (command *benchCommand) record(selection bencher.Selection) error {
+	runs, err := selection.Runs(bencher.Policies()[:1])
+	if err != nil {
+		return &usageError{err}
+	}
+	if len(runs) != 1 {
+		return &usageError{fmt.Errorf("--record takes one scenario, one --fault and one seed, got %d runs", len(runs))}
+	}
+	file, err := os.Create(command.Record)
+	if err != nil {
+		return fmt.Errorf("record trace: %w", err)
+	}
+	buffer := bufio.NewWriter(file)
+	var trace *recorder.Recorder
+	runs[0].Wrap = func(seed uint64, options gatherer.Options, decider carobthread.Decider) carobthread.Decider {
+		trace = recorder.New(buffer, seed, options, decider)
+		return trace
+	}
+	result := runs[0].Execute()
+	if err := errors.Join(trace.Err(), buffer.Flush(), file.Close()); err != nil {
+		return fmt.Errorf("record trace: %w", err)
+	}
+	return bencher.WriteTable(os.Stdout, []*bencher.Result{result})
+}
+
 func writeJSONLines[T any](items []T) error {
 	encoder := json.NewEncoder(os.Stdout)
 	for _, item := range items {
--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -13,5 +13,6 @@
 func commands() []command {
 	return []command{
 		{name: "bench", short: "measure the query path on virtual time", runner: &benchCommand{}},
+		{name: "replay", short: "run recorded traces through the core and compare", runner: &replayCommand{}},
 	}
 }
