Keep the hedge delay over a pause and test what a pause must not teach

Cause: after a pause the core had no hedge delay until 32 new latencies had come, so an attempt in flight at a hung searcher had no second attempt.

Change: samples from before a pause are dropped, but median and hedge delay stay until new ones replace them.

--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -139,6 +139,6 @@
 		searcher.ejection.Forget()
 	}
 	for _, service := range gatherer.serviceList {
-		service.latency.reset()
+		service.latency.age()
 	}
 }
--- a/gatherer/latency.go
+++ b/gatherer/latency.go
@@ -80,10 +80,11 @@
 	window.hedge = time.Duration(merged.ValueAtQuantile(100*window.quantile)) * time.Microsecond
 }
 
-// reset drops all samples.
-func (window *latencyWindow) reset() {
+// age drops all samples; the median and the hedge delay stay until enough new samples replace them.
+func (window *latencyWindow) age() {
+	median, hedge := window.median, window.hedge
 	quantile := window.quantile
-	*window = latencyWindow{}
+	*window = latencyWindow{median: median, hedge: hedge}
 	window.configure(quantile)
 }
 
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -125,6 +125,7 @@
 func (run *script) config(data *datadriven.TestData) carobthread.Config {
 	config := fleet(run.number(data, "shards", 1), run.number(data, "slots", 3))
 	config.Services[0].MaxInFlight = run.number(data, "max", 0)
+	config.Services[0].HardDeadline = max(config.Services[0].HardDeadline, run.span(data, "hard"))
 	config.Services[0].MaxRequestSize = 1000
 	config.Services[0].Layout = uint32(run.number(data, "layout", 1))
 	first := config.Layouts[0].Shards
