Record decision traces of a running host

Cause: the daemon's setting [trace] events did nothing.

Change: the runner wraps the query core with a recorder; the counts come from the core itself. A test runs four hosts with a straggler and a lost replica, and replays their traces.

Before: no live trace. After: the traces of all four hosts replay without a difference.

Conclusion: live decisions depend on recorded events alone.

--- a/internal/deployer/deployer.go
+++ b/internal/deployer/deployer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,6 +49,8 @@
 	Grace time.Duration
 	// Logger gets the hosts' logs; default none.
 	Logger zerolog.Logger
+	// Traces is the directory for each host's decision trace; default none.
+	Traces string
 }
 
 // Deployment is a running deployment.
@@ -227,6 +230,9 @@
 	}
 	settings.Platform.Address = deployment.serving.Address()
 	settings.Stop.Grace = deployment.options.Grace
+	if deployment.options.Traces != "" {
+		settings.Trace.Events = filepath.Join(deployment.options.Traces, name+".jsonl")
+	}
 	for _, other := range deployment.Hosts {
 		settings.Peers.Addresses = append(settings.Peers.Addresses, carobthread.SeedPeer{Address: other.Runner.PeerAddress()})
 	}
--- a/internal/deployer/deployer_test.go
+++ b/internal/deployer/deployer_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"carobthread/internal/deployer"
 	"carobthread/internal/standin"
 	"carobthread/parser"
+	"carobthread/recorder"
 	"carobthread/rpc/carobthreadv1"
 )
 
@@ -99,3 +103,31 @@
 	}
 	assert.Equal(t, draining[0].Calls()+draining[1].Calls(), before)
 }
+
+// Guards against decisions that depend on anything but the recorded events, such as a clock or the order of a map.
+func TestLiveTraceReplaysToTheSameDecisions(t *testing.T) {
+	traces := t.TempDir()
+	deployment, err := deployer.New(context.Background(), deployer.Options{Traces: traces})
+	assert.NilError(t, err)
+	deployment.Matching[0][0].Slow(30)
+	assert.NilError(t, deployment.Matching[1][0].Close())
+	for range 20 {
+		for _, host := range deployment.Hosts {
+			search(t, host)
+		}
+	}
+	assert.NilError(t, deployment.Close())
+	files, err := filepath.Glob(filepath.Join(traces, "*.jsonl"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), len(deployment.Hosts))
+	for _, file := range files {
+		content, err := os.Open(file)
+		assert.NilError(t, err)
+		trace, err := recorder.Read(file, content)
+		assert.NilError(t, errors.Join(err, content.Close()))
+		assert.Assert(t, len(trace.Steps) > 100)
+		differences, err := recorder.Replay(trace)
+		assert.NilError(t, err)
+		assert.Equal(t, len(differences), 0, "%v", differences)
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -1,11 +1,13 @@
 package runner
 
 import (
+	"bufio"
 	"context"
 	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,7 @@
 	"carobthread/executor"
 	"carobthread/gatherer"
 	"carobthread/messenger"
+	"carobthread/recorder"
 	"carobthread/relayer"
 	"carobthread/server"
 	"carobthread/timer"
@@ -35,6 +38,9 @@
 	executionTickPeriod = 100 * time.Millisecond
 	// secretBytes is the length of the key-signing secret.
 	secretBytes = 32
+	// traceBufferBytes keeps the decision trace from writing to its file inside every step.
+	traceBufferBytes = 256 << 10
+	onlyOwner        = 0o600
 	// initialConnections is the share of about 30 connections a searcher that each of 4 entry hosts may open, until the core sets it.
 	initialConnections = 7
 )
@@ -95,7 +101,9 @@
 	}
 	self := host.identity()
 	host.caller = caller.New(caller.Options{Connections: initialConnections, MaxReplySize: options.Settings.Limits.MaxReplySize})
-	host.search = host.newSearch()
+	if host.search, err = host.newSearch(); err != nil {
+		return nil, errors.Join(err, host.listeners.close())
+	}
 	host.buildPeers(self, options.Seed)
 	host.listeners.callerServer.Handler = host.callerHandler()
 	host.listeners.operatorServer.Handler = host.operatorHandler(registry)
@@ -114,17 +122,43 @@
 	}
 }
 
-func (host *Runner) newSearch() *server.Search {
+func (host *Runner) newSearch() (*server.Search, error) {
+	core := gatherer.New(host.options.Seed, gatherer.Options{})
+	decider, err := host.record(core)
+	if err != nil {
+		return nil, err
+	}
 	return server.NewSearch(server.SearchOptions{
 		Host:     host.settings.Host.Name,
-		Decider:  gatherer.New(host.options.Seed, gatherer.Options{}),
+		Decider:  decider,
+		Counted:  core,
 		Timer:    host.timer,
 		Upstream: host.caller,
 		Tracer:   host.tracer,
 		Meter:    host.meter,
 		Drained:  func(searcher string, leaving bool) { host.control.SearcherSeen(searcher, leaving) },
 		Reported: func(report carobthread.ReportArrived) { host.execution.Report(report) },
+	}), nil
+}
+
+// record wraps the core with a recorder if the settings ask for a decision trace.
+func (host *Runner) record(core *gatherer.Gatherer) (carobthread.Decider, error) {
+	path := host.settings.Trace.Events
+	if path == "" {
+		return core, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, onlyOwner)
+	if err != nil {
+		return nil, fmt.Errorf("open decision trace: %w", err)
+	}
+	buffer := bufio.NewWriterSize(file, traceBufferBytes)
+	recording := recorder.New(buffer, host.options.Seed, gatherer.Options{}, core)
+	host.closers = append(host.closers, func() {
+		if err := errors.Join(recording.Err(), buffer.Flush(), file.Close()); err != nil {
+			host.logger.Error().Err(err).Str("file", path).Msg("decision trace is incomplete")
+		}
 	})
+	return recording, nil
 }
 
 func (host *Runner) newExecution(self carobthread.Host, seed uint64) *server.Execution {
--- a/runner/status.go
+++ b/runner/status.go
@@ -18,7 +18,7 @@
 	Ready      bool                 `json:"ready"`
 	Stopping   bool                 `json:"stopping"`
 	Control    server.ControlStatus `json:"control"`
-	Queries    *gatherer.Stats      `json:"queries"`
+	Queries    gatherer.Stats       `json:"queries"`
 	Keys       executor.Stats       `json:"keys"`
 	Platform   watcher.Stats        `json:"platform"`
 	Peers      []messenger.Count    `json:"peers"`
--- a/server/search.go
+++ b/server/search.go
@@ -24,8 +24,10 @@
 
 // SearchOptions are the parts that a Search works with.
 type SearchOptions struct {
-	Host     string
-	Decider  carobthread.Decider
+	Host    string
+	Decider carobthread.Decider
+	// Counted is the core behind the decider, which may be a recorder.
+	Counted  interface{ Stats() gatherer.Stats }
 	Timer    carobthread.Timer
 	Upstream carobthread.Upstream
 	Tracer   trace.Tracer
@@ -447,14 +449,9 @@
 	return len(search.pending)
 }
 
-// Stats returns the counts of the core, or nil if it keeps none.
-func (search *Search) Stats() *gatherer.Stats {
+// Stats returns the counts of the core.
+func (search *Search) Stats() gatherer.Stats {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
-	counted, able := search.options.Decider.(interface{ Stats() gatherer.Stats })
-	if !able {
-		return nil
-	}
-	stats := counted.Stats()
-	return &stats
+	return search.options.Counted.Stats()
 }
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -76,8 +76,9 @@
 		config.Layouts[0].Shards = append(config.Layouts[0].Shards, replicas)
 	}
 	clock := timer.New()
+	core := gatherer.New(1, gatherer.Options{})
 	search := server.NewSearch(server.SearchOptions{
-		Host: "entry", Decider: gatherer.New(1, gatherer.Options{}), Timer: clock, Upstream: upstream,
+		Host: "entry", Decider: core, Counted: core, Timer: clock, Upstream: upstream,
 		Tracer: noop.NewTracerProvider().Tracer("test"), Meter: server.NewMeter(tally.NoopScope),
 	})
 	search.Configure(config)
--- a/server/throughput_test.go
+++ b/server/throughput_test.go
@@ -144,9 +144,11 @@
 	clock := timer.New()
 	upstream := caller.New(caller.Options{Connections: benchConnections})
 	b.Cleanup(upstream.Close)
+	core := gatherer.New(1, gatherer.Options{})
 	search := server.NewSearch(server.SearchOptions{
 		Host:     "entry",
-		Decider:  gatherer.New(1, gatherer.Options{}),
+		Decider:  core,
+		Counted:  core,
 		Timer:    clock,
 		Upstream: upstream,
 		Tracer:   noop.NewTracerProvider().Tracer("bench"),
