--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -107,12 +107,11 @@
 		return
 	}
 	kind := carobthread.AttemptHedge
-	if gatherer.now < service.hedgeFrom {
-		if !state.suspect() {
-			state.checkAt = service.hedgeFrom
-			return
-		}
+	if state.suspect() {
 		kind = carobthread.AttemptRetry
+	} else if gatherer.now < service.hedgeFrom {
+		state.checkAt = service.hedgeFrom
+		return
 	}
 	index, found := gatherer.choose(query, shard)
 	if found > classSaturated {
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -13,10 +13,10 @@
 const (
 	classLocal class = iota
 	classRemote
+	// classSaturated has no free slot; the attempt waits rather than going to a replica with bad outcomes.
+	classSaturated
 	// classAvoided would be ejected but for the cap.
 	classAvoided
-	// classSaturated has no free slot; the attempt waits rather than going to an ejected replica.
-	classSaturated
 	// classMayHold last stated only older snapshots than the one asked for and may have loaded it since.
 	classMayHold
 	// classEjected is the last resort when every other replica is gone.
@@ -56,6 +56,12 @@
 			count++
 		}
 	}
+	if best == classSaturated && len(row.waiting) > row.slots() {
+		// With a queue this long, even a replica with bad outcomes is likely to reply first.
+		if avoided := slices.Index(gatherer.classes, classAvoided); avoided >= 0 {
+			return avoided, classAvoided
+		}
+	}
 	if best > classEjected || best == classSaturated {
 		return -1, best
 	}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -29,11 +29,14 @@
 // tally counts the shards in which a snapshot is held.
 type tally struct {
 	snapshot uint64
-	// reach counts the shards where it is or may be held, known those where it was stated, even long ago.
+	// reach counts the shards where it is held, known those where it was stated, even long ago.
 	reach int
 	known int
-	// last is the last shard counted, as its number plus one.
-	last int
+	// wide counts the shards where at least half of the usable replicas hold it: the first replicas to load a new snapshot cannot take the whole load.
+	wide int
+	// last is the last shard counted, as its number plus one, and holders its replicas that hold the snapshot.
+	last    int
+	holders int
 }
 
 // planFor returns the layout and snapshot for new queries of the service.
@@ -73,7 +76,7 @@
 func (gatherer *Gatherer) bestSnapshot(layout *layoutRow, skip *candidate) target {
 	reachable, unknown, anyKnown := gatherer.tallyLayout(layout)
 	best := target{}
-	bestKnown := 0
+	var bestEntry tally
 	if anyKnown {
 		for i := range gatherer.tallies {
 			entry := &gatherer.tallies[i]
@@ -81,11 +84,11 @@
 				continue
 			}
 			reach := entry.reach + unknown
-			if best.layout != nil && !newerOrBetter(entry, reach, &best, bestKnown) {
+			if best.layout != nil && !entry.better(&bestEntry) {
 				continue
 			}
 			best = target{layout: layout, snapshot: entry.snapshot, bound: true, reach: reach}
-			bestKnown = entry.known
+			bestEntry = *entry
 		}
 	}
 	if best.layout == nil && (skip == nil || skip.layout != layout) {
@@ -94,14 +97,17 @@
 	return best
 }
 
-func newerOrBetter(entry *tally, reach int, best *target, bestKnown int) bool {
-	if reach != best.reach {
-		return reach > best.reach
-	}
-	if entry.known != bestKnown {
-		return entry.known > bestKnown
+// better orders snapshots by coverage, then by how widely they are held, then by age.
+func (entry *tally) better(other *tally) bool {
+	switch {
+	case entry.reach != other.reach:
+		return entry.reach > other.reach
+	case entry.wide != other.wide:
+		return entry.wide > other.wide
+	case entry.known != other.known:
+		return entry.known > other.known
 	}
-	return entry.snapshot > best.snapshot
+	return entry.snapshot > other.snapshot
 }
 
 // tallyLayout counts for each snapshot the shards that hold it.
@@ -109,31 +115,31 @@
 func (gatherer *Gatherer) tallyLayout(layout *layoutRow) (reachable, unknown int, anyKnown bool) {
 	gatherer.tallies = gatherer.tallies[:0]
 	for shard := range layout.shards {
-		usable, open := false, false
+		usable, open := 0, false
 		for i := range layout.shards[shard].replicas {
 			replica := &layout.shards[shard].replicas[i]
 			if !gatherer.plannable(replica) {
 				continue
 			}
-			usable = true
+			usable++
 			known := gatherer.heldKnown(replica.row.searcher)
 			anyKnown = anyKnown || known
 			open = open || !known
 		}
-		if !usable {
+		if usable == 0 {
 			continue
 		}
 		reachable++
 		if open {
 			unknown++
 		}
-		gatherer.tallyShard(layout, shard, open)
+		gatherer.tallyShard(layout, shard, usable, open)
 	}
 	return reachable, unknown, anyKnown
 }
 
 // tallyShard counts the snapshots held in one shard, each once; with open set they count as known but not again as reachable.
-func (gatherer *Gatherer) tallyShard(layout *layoutRow, shard int, open bool) {
+func (gatherer *Gatherer) tallyShard(layout *layoutRow, shard, usable int, open bool) {
 	for i := range layout.shards[shard].replicas {
 		replica := &layout.shards[shard].replicas[i]
 		if !gatherer.plannable(replica) {
@@ -141,13 +147,16 @@
 		}
 		for _, snapshot := range replica.row.searcher.held {
 			entry := gatherer.tallyOf(snapshot)
-			if entry.last == shard+1 {
-				continue
+			if entry.last != shard+1 {
+				entry.last, entry.holders = shard+1, 0
+				entry.known++
+				if !open {
+					entry.reach++
+				}
 			}
-			entry.last = shard + 1
-			entry.known++
-			if !open {
-				entry.reach++
+			entry.holders++
+			if entry.holders == (usable+1)/2 {
+				entry.wide++
 			}
 		}
 	}
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -203,11 +203,11 @@
 	}
 	capped := !gatherer.mayEject(searcher)
 	searcher.ejection.Eject(gatherer.now, gatherer.random.Float64(), capped)
+	searcher.limit.Restart()
 	if capped {
 		gatherer.stats.EjectionsCapped++
 		return
 	}
-	searcher.limit.Restart()
 	gatherer.stats.Ejections++
 	gatherer.planEpoch++
 }
