Refuse reservations first when a host stops, and explore more clocks

Change: StopCalled.AcceptKeys (Execution.Drain) refuses reservations but still runs keys that were handed out; Execution.Stop refuses those too.

--- a/executor/event.go
+++ b/executor/event.go
@@ -98,7 +98,10 @@
 }
 
 // StopCalled refuses new work from now on; runs and forwards in progress finish.
-type StopCalled struct{}
+type StopCalled struct {
+	// AcceptKeys refuses reservations only, so that callers can use the keys that they hold.
+	AcceptKeys bool `json:"accept-keys,omitempty"`
+}
 
 // Action is one output; exactly one of the pointers is set.
 type Action struct {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -51,7 +51,8 @@
 	highest     carobthread.Instant // highest time seen; expiry follows it
 	sequence    uint64
 	nextAttempt AttemptID
-	stopping    bool
+	draining    bool // mints no keys
+	stopping    bool // runs no unused keys either
 	superseded  bool
 	view        carobthread.View
 	services    map[string]*serviceRow
@@ -114,7 +115,8 @@
 	case event.View != nil:
 		executor.changeView(event.View.View)
 	case event.Stop != nil:
-		executor.stopping = true
+		executor.draining = true
+		executor.stopping = executor.stopping || !event.Stop.AcceptKeys
 	case event.Tick != nil:
 		executor.tick()
 	}
@@ -125,7 +127,7 @@
 	reserved := &KeyReserved{Call: call.Call}
 	executor.actions = append(executor.actions, Action{Reserved: reserved})
 	reserved.Reason = executor.serviceFault(call.Service)
-	if executor.stopping || executor.superseded {
+	if executor.draining || executor.superseded {
 		reserved.Reason = carobthread.ReasonStopping
 	}
 	if reserved.Reason != "" {
--- a/executor/stats.go
+++ b/executor/stats.go
@@ -22,7 +22,7 @@
 	Bytes    int  `json:"bytes"`
 	Running  int  `json:"running"`
 	Forwards int  `json:"forwards"`
-	Stopping bool `json:"stopping"`
+	Draining bool `json:"draining"`
 }
 
 // Stats returns the counters and the present sizes.
@@ -32,7 +32,7 @@
 	stats.Bytes = executor.table.bytes
 	stats.Running = len(executor.running)
 	stats.Forwards = len(executor.forwards)
-	stats.Stopping = executor.stopping
+	stats.Draining = executor.draining
 	return stats
 }
 
--- a/explorer/trace.go
+++ b/explorer/trace.go
@@ -57,9 +57,9 @@
 	Host    int      `json:"host,omitempty"`
 	Caller  int      `json:"caller,omitempty"`
 	Call    string   `json:"call,omitempty"`
-	// Micros is the time that passes or the new offset of a host's clock, in microseconds.
+	// Micros is the time that passes, the new offset of a host's clock or the new lag of an upstream's, in microseconds.
 	Micros int64 `json:"us,omitempty"`
-	// Upstream takes Mode from now on.
+	// Upstream takes Mode from now on; a stop in mode draining refuses reservations only.
 	Upstream int    `json:"upstream,omitempty"`
 	Mode     string `json:"mode,omitempty"`
 }
--- a/explorer/world.go
+++ b/explorer/world.go
@@ -90,6 +90,7 @@
 	now       carobthread.Instant
 	hosts     []*hostState
 	modes     []string
+	lags      []time.Duration // how far each upstream's clock is behind
 	callers   []*callerState
 	messages  []*message
 	nextID    int
@@ -106,6 +107,7 @@
 	}
 	for range header.Upstreams {
 		world.modes = append(world.modes, modeServing)
+		world.lags = append(world.lags, 0)
 	}
 	for i := range header.Callers {
 		world.callers = append(world.callers, &callerState{number: i, checker: world.checker})
