--- a/server/search_test.go
+++ b/server/search_test.go
@@ -76,8 +76,9 @@
 		config.Layouts[0].Shards = append(config.Layouts[0].Shards, replicas)
 	}
 	clock := timer.New()
+	core := gatherer.New(1, gatherer.Options{})
 	search := server.NewSearch(server.SearchOptions{
-		Host: "entry", Decider: gatherer.New(1, gatherer.Options{}), Timer: clock, Upstream: upstream,
+		Host: "entry", Decider: core, Counted: core, Timer: clock, Upstream: upstream,
 		Tracer: noop.NewTracerProvider().Tracer("test"), Meter: server.NewMeter(tally.NoopScope),
 	})
 	search.Configure(config)
@@ -109,7 +110,7 @@
 func TestBadInputIsRefusedAsNotRun(t *testing.T) {
 	search := startSearch(t, &crossingUpstream{random: rand.New(rand.NewPCG(1, 2))})
 	mux := http.NewServeMux()
-	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(server.NewCallers(search)))
+	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(server.NewCallers(search, nil)))
 	front := httptest.NewServer(mux)
 	defer front.Close()
 	client := carobthreadv1connect.NewQueryServiceClient(front.Client(), front.URL)
