Compare the guarded path with a plain forward of equal settings

Cause: the plain forward of BenchmarkExecute asked its upstream for gzip replies, which package caller does not, so the ratio was too low.

Change: the plain forward refuses compression too. The explorer builds its configuration once for each schedule.

--- a/explorer/delivery.go
+++ b/explorer/delivery.go
@@ -105,7 +105,7 @@
 		world.end(sent, executor.StatusNotRun, carobthread.ReasonTimeout, true)
 		return
 	}
-	upstream := slices.Index(world.config().Layouts[0].Shards[0], sent.send.Searcher)
+	upstream := slices.Index(world.config.Layouts[0].Shards[0], sent.send.Searcher)
 	world.post(&message{kind: kindRun, host: sent.host, life: sent.life, key: sent.key, send: sent.send, upstream: upstream})
 }
 
--- a/explorer/world.go
+++ b/explorer/world.go
@@ -86,6 +86,7 @@
 // world is the whole state of one schedule.
 type world struct {
 	header    Header
+	config    carobthread.Config
 	factory   Factory
 	now       carobthread.Instant
 	hosts     []*hostState
@@ -100,7 +101,7 @@
 }
 
 func newWorld(header Header, factory Factory, counts *Counts) *world {
-	world := &world{header: header, factory: factory, now: epoch, checker: newChecker(counts), counts: counts}
+	world := &world{header: header, config: header.config(), factory: factory, now: epoch, checker: newChecker(counts), counts: counts}
 	for i := range header.Hosts {
 		world.hosts = append(world.hosts, &hostState{name: fmt.Sprintf("h%d", i)})
 		world.start(i)
@@ -135,19 +136,19 @@
 		KeyLifetime: keyLifetime,
 		MaxKeys:     world.header.MaxKeys,
 	})
-	world.step(index, executor.Event{Config: &carobthread.ConfigChanged{Config: world.config()}})
+	world.step(index, executor.Event{Config: &carobthread.ConfigChanged{Config: world.config}})
 }
 
 func dataCentre(index int) string { return [...]string{"north", "south"}[index%2] }
 
-func (world *world) config() carobthread.Config {
+func (header *Header) config() carobthread.Config {
 	config := carobthread.Config{
 		Services: []carobthread.Service{{Name: serviceName, Kind: carobthread.KindExecute, HardDeadline: hardDeadline, Layout: 1, MaxReplySize: 256}},
 		Layouts:  []carobthread.Layout{{Service: serviceName, Generation: 1, Shards: [][]string{{}}}},
 	}
-	for i := range world.header.Upstreams {
+	for i := range header.Upstreams {
 		name := fmt.Sprintf("u%d", i)
-		config.Searchers = append(config.Searchers, carobthread.Searcher{Name: name, DataCentre: dataCentre(i), Slots: world.header.Slots})
+		config.Searchers = append(config.Searchers, carobthread.Searcher{Name: name, DataCentre: dataCentre(i), Slots: header.Slots})
 		config.Layouts[0].Shards[0] = append(config.Layouts[0].Shards[0], name)
 	}
 	return config
--- a/server/execution_test.go
+++ b/server/execution_test.go
@@ -354,7 +354,8 @@
 // BenchmarkExecute compares the guarded path at the minting host and through another host with a plain forward, in turns.
 func BenchmarkExecute(b *testing.B) {
 	fleet := startFleet(b, 0)
-	upstream := carobthreadv1connect.NewSearcherServiceClient(&http.Client{Transport: &http.Transport{}}, "http://"+fleet.upstreams[0].Address())
+	upstream := carobthreadv1connect.NewSearcherServiceClient(&http.Client{Transport: &http.Transport{}}, "http://"+fleet.upstreams[0].Address(),
+		connect.WithAcceptCompression("gzip", nil, nil)) // as package caller does
 	_, handler := carobthreadv1connect.NewQueryServiceHandler(&plainForward{upstream: upstream})
 	plain := httptest.NewServer(handler)
 	defer plain.Close()
