--- a/explorer/delivery.go
+++ b/explorer/delivery.go
@@ -105,13 +105,13 @@
 		world.end(sent, executor.StatusNotRun, carobthread.ReasonTimeout, true)
 		return
 	}
-	upstream := slices.Index(world.config().Layouts[0].Shards[0], sent.send.Searcher)
+	upstream := slices.Index(world.config.Layouts[0].Shards[0], sent.send.Searcher)
 	world.post(&message{kind: kindRun, host: sent.host, life: sent.life, key: sent.key, send: sent.send, upstream: upstream})
 }
 
 // run is an upstream that got the whole request; it checks the deadline that the request carries.
 func (world *world) run(sent *message) {
-	if world.modes[sent.upstream] != modeServing || world.now >= sent.send.Deadline {
+	if world.modes[sent.upstream] != modeServing || world.now.Add(-world.lags[sent.upstream]) >= sent.send.Deadline {
 		world.end(sent, executor.StatusNotRun, carobthread.ReasonUpstreamShed, false)
 		return
 	}
