Hand out no keys during a stop; report key counts one way

Cause: a key reserved during the grace period becomes unknown when its host exits; and the counts of the executor were exported twice.

Change: a stopping host refuses reservations at once; Execution.Publish goes, since Meter.Gauges reports every number of a stats struct.

Conclusion: the order is drain, grace, stop, shutdown, wait.

--- a/runner/stop.go
+++ b/runner/stop.go
@@ -10,8 +10,8 @@
 // errAborted ends a graceful stop early.
 var errAborted = errors.New("aborted by a second signal")
 
-// stop ends the host in this order: it is not ready, the balancer gets its grace period in which work is still
-// accepted, new keys are refused as not run, the servers finish what they have accepted, and the attempts end.
+// stop ends the host in this order: it is not ready and hands out no new keys, the balancer gets its grace period in
+// which work is still accepted, unused keys are refused as not run, the servers finish what they have accepted, and the attempts end.
 func (host *Runner) stop(background context.Context, abort <-chan struct{}) error {
 	ctx, cancel := context.WithTimeoutCause(background, host.settings.Stop.Limit, errors.New("stop limit reached"))
 	defer cancel()
@@ -27,6 +27,7 @@
 	host.stopping.Store(true)
 	host.logger.Info().Dur("grace", host.settings.Stop.Grace).Msg("stopping, not ready")
 	host.control.Leave()
+	host.execution.Drain()
 	pause(ctx, host.settings.Stop.Grace)
 	host.execution.Stop()
 	err := host.listeners.callerServer.Shutdown(ctx)
--- a/server/execution.go
+++ b/server/execution.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
@@ -136,34 +135,6 @@
 	return execution.options.Core.Stats()
 }
 
-// Publish sets the present counters as gauges of the scope.
-func (execution *Execution) Publish(scope tally.Scope) {
-	stats := execution.Stats()
-	gauges := map[string]float64{
-		"keys_reserved":      float64(stats.Reserved),
-		"keys_held":          float64(stats.Keys),
-		"keys_bytes":         float64(stats.Bytes),
-		"keys_revoked":       float64(stats.Revoked),
-		"keys_expired":       float64(stats.Expired),
-		"runs_in_progress":   float64(stats.Running),
-		"runs_done":          float64(stats.Done),
-		"runs_not_run":       float64(stats.NotRun),
-		"runs_unknown":       float64(stats.Unknown),
-		"run_attempts":       float64(stats.Attempts),
-		"run_retries":        float64(stats.Retried),
-		"permits_refused":    float64(stats.PermitsRefused),
-		"calls_joined":       float64(stats.Joined),
-		"calls_repeated":     float64(stats.Repeated),
-		"payload_mismatches": float64(stats.Mismatched),
-		"forwards":           float64(stats.Forwarded),
-		"forwards_unknown":   float64(stats.UnknownForwards),
-		"results_dropped":    float64(stats.Dropped),
-	}
-	for name, value := range gauges {
-		scope.Gauge(name).Update(value)
-	}
-}
-
 // Reserve mints a key; a refusal is a connect error that states not-run.
 func (execution *Execution) Reserve(ctx context.Context, request *connect.Request[carobthreadv1.ReserveRequest]) (*connect.Response[carobthreadv1.ReserveResponse], error) {
 	service := request.Msg.GetService()
