Leave HTTP/2 connections that have received GOAWAY

Cause: after GOAWAY a connection stays open without an error, but refuses requests. The pool kept handing it out, so a restarting searcher cost each caller failed attempts until the connection closed.

Change: a pool skips HTTP/2 connections without a free stream and closes them once they are idle.

Conclusion: a draining searcher is left at its GOAWAY.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -259,4 +259,25 @@
 	}
 }
 
+// TestGoAway guards against an HTTP/2 connection that stays in the pool although the searcher takes no more requests on it.
+func TestGoAway(t *testing.T) {
+	upstream := &standIn{arrivals: map[string]int{}}
+	first := serve(t, upstream)
+	client := caller.New(caller.Options{HTTP2: true, Connections: 1})
+	searcher := carobthread.Searcher{Address: first.Listener.Addr().String()}
+	_, err := client.Run(t.Context(), searcher, &carobthreadv1.RunRequest{Key: "first", Service: "book"}, permit)
+	assert.NilError(t, err)
+	go func() { _ = first.Config.Shutdown(context.Background()) }()
+	time.Sleep(100 * time.Millisecond) // GOAWAY has come, and the connection closes only after a second
+	listener, err := net.Listen("tcp", searcher.Address)
+	assert.NilError(t, err)
+	second := &http.Server{Handler: first.Config.Handler, Protocols: first.Config.Protocols}
+	go func() { _ = second.Serve(listener) }()
+	_, err = client.Run(t.Context(), searcher, &carobthreadv1.RunRequest{Key: "second", Service: "book"}, permit)
+	assert.NilError(t, err)
+	client.Close()
+	assert.NilError(t, second.Close())
+	first.Close()
+}
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/caller/pool.go
+++ b/caller/pool.go
@@ -19,6 +19,19 @@
 
 func (conn *connection) close() { _ = conn.client.Close() } // the connection is given up either way
 
+// spent reports a connection that can carry no further request. An HTTP/2 connection whose searcher has
+// sent GOAWAY stays open without an error, and shows only in that it has no stream to offer while it is idle.
+func (conn *connection) spent() bool {
+	if conn.client.Err() != nil {
+		return true
+	}
+	if !conn.http2 || conn.inFlight > 0 || conn.client.Available() > 0 {
+		return false
+	}
+	conn.close()
+	return true
+}
+
 // pool holds the connections to one searcher for one service.
 type pool struct {
 	address   string
@@ -98,10 +111,10 @@
 
 // pickLocked prefers an idle connection, then a new one, then the least loaded one that may be shared.
 func (pool *pool) pickLocked(exclusive bool) (*connection, bool) {
-	pool.conns = slices.DeleteFunc(pool.conns, func(conn *connection) bool { return conn.client.Err() != nil })
+	pool.conns = slices.DeleteFunc(pool.conns, (*connection).spent)
 	var best *connection
 	for _, conn := range pool.conns {
-		if conn.exclusive || conn.inFlight > 0 && (exclusive || !pool.shared) {
+		if conn.exclusive || conn.http2 && conn.client.Available() == 0 || conn.inFlight > 0 && (exclusive || !pool.shared) {
 			continue
 		}
 		if best == nil || conn.inFlight < best.inFlight {
