Wait for the closed listener in TestGoAway

Cause: a fixed wait of 100 ms could end before the first server had closed its listener on a busy machine.

Change: the test binds the address again and again until it is free.

Conclusion: the verdict no longer depends on the machine's load.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -268,9 +268,10 @@
 	_, err := client.Run(t.Context(), searcher, &carobthreadv1.RunRequest{Key: "first", Service: "book"}, permit)
 	assert.NilError(t, err)
 	go func() { _ = first.Config.Shutdown(context.Background()) }()
-	time.Sleep(100 * time.Millisecond) // GOAWAY has come, and the connection closes only after a second
 	listener, err := net.Listen("tcp", searcher.Address)
-	assert.NilError(t, err)
+	for ; err != nil; listener, err = net.Listen("tcp", searcher.Address) {
+		time.Sleep(100 * time.Millisecond) // GOAWAY comes meanwhile; the connection closes only after a second
+	}
 	second := &http.Server{Handler: first.Config.Handler, Protocols: first.Config.Protocols}
 	go func() { _ = second.Serve(listener) }()
 	_, err = client.Run(t.Context(), searcher, &carobthreadv1.RunRequest{Key: "second", Service: "book"}, permit)
