Carry one trace through forwarded requests

Cause: runs and forwards started traces of their own, since they outlive their caller's context; peer links had a second copy of the trace code.

Change: Execution keeps the span of each key in progress and makes runs and forwards its children; messenger uses package tracer. A test books through another host and reads the spans of both.

Before: execute, forward, key.execute and run had different traces (the new test fails). After: one trace.

Conclusion: each hop of a request that may not be repeated has its span.

--- a/internal/deployer/deployer.go
+++ b/internal/deployer/deployer.go
@@ -49,7 +49,7 @@
 	Grace time.Duration
 	// Logger gets the hosts' logs; default none.
 	Logger zerolog.Logger
-	// Traces is the directory for each host's decision trace; default none.
+	// Traces is the directory for each host's decision trace and spans; default none.
 	Traces string
 }
 
@@ -232,6 +232,7 @@
 	settings.Stop.Grace = deployment.options.Grace
 	if deployment.options.Traces != "" {
 		settings.Trace.Events = filepath.Join(deployment.options.Traces, name+".jsonl")
+		settings.Trace.Spans = filepath.Join(deployment.options.Traces, name+".spans")
 	}
 	for _, other := range deployment.Hosts {
 		settings.Peers.Addresses = append(settings.Peers.Addresses, carobthread.SeedPeer{Address: other.Runner.PeerAddress()})
--- a/internal/deployer/deployer_test.go
+++ b/internal/deployer/deployer_test.go
@@ -1,7 +1,9 @@
 package deployer_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -131,3 +133,33 @@
 		assert.Equal(t, len(differences), 0, "%v", differences)
 	}
 }
+
+// Guards against a hop without a span, or one that starts a trace of its own: a forwarded booking must be one trace.
+func TestForwardedBookingIsOneTrace(t *testing.T) {
+	traces := t.TempDir()
+	deployment, err := deployer.New(context.Background(), deployer.Options{Traces: traces})
+	assert.NilError(t, err)
+	reserved, err := deployment.Hosts[0].Client.Reserve(context.Background(), connect.NewRequest(&carobthreadv1.ReserveRequest{Service: deployer.Bookings}))
+	assert.NilError(t, err)
+	_, err = deployment.Hosts[3].Client.Execute(context.Background(), connect.NewRequest(&carobthreadv1.ExecuteRequest{Key: reserved.Msg.GetKey(), Service: deployer.Bookings}))
+	assert.NilError(t, err)
+	assert.NilError(t, deployment.Close())
+	hops := map[string]string{}
+	for _, name := range []string{"entry-1.spans", "entry-4.spans"} {
+		content, err := os.ReadFile(filepath.Join(traces, name))
+		assert.NilError(t, err)
+		decoder := json.NewDecoder(bytes.NewReader(content))
+		for decoder.More() {
+			var span struct {
+				Name        string
+				SpanContext struct{ TraceID string }
+			}
+			assert.NilError(t, decoder.Decode(&span))
+			hops[span.Name] = span.SpanContext.TraceID
+		}
+	}
+	for _, name := range []string{"execute", "forward", "key.execute", "run"} {
+		assert.Equal(t, hops[name], hops["execute"], name)
+	}
+	assert.Assert(t, hops["execute"] != "")
+}
--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"carobthread"
+	"carobthread/tracer"
 )
 
 // acceptor serves one accepted link: first the hello, then requests of the peer that it names.
@@ -115,7 +116,7 @@
 	if left <= 0 {
 		return nil, refuse(carobthread.ReasonDeadlinePassed, "the deadline passed before the request arrived")
 	}
-	ctx, cancel := context.WithTimeout(extractTrace(ctx, wrapped.TraceParent), left)
+	ctx, cancel := context.WithTimeout(tracer.Extract(ctx, wrapped.TraceParent), left)
 	defer cancel()
 	return acceptor.messenger.handle(ctx, acceptor.peer, request.Method, wrapped.Body)
 }
--- a/messenger/envelope.go
+++ b/messenger/envelope.go
@@ -1,14 +1,12 @@
 package messenger
 
 import (
-	"context"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
-	"go.opentelemetry.io/otel/propagation"
 
 	"carobthread"
 )
@@ -16,8 +14,6 @@
 // Code of every error response; its data holds the state and the reason.
 const codeRequestFailed = 1
 
-const traceParent = "traceparent"
-
 // envelope is the params member of every request but the hello.
 type envelope struct {
 	// DeadlineMicros is absolute, in microseconds since the Unix epoch.
@@ -101,19 +97,6 @@
 	return frame[prefix:], nil
 }
 
-func injectTrace(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	return carrier.Get(traceParent)
-}
-
-func extractTrace(ctx context.Context, parent string) context.Context {
-	if parent == "" {
-		return ctx
-	}
-	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceParent: parent})
-}
-
 func refuse(reason carobthread.Reason, detail string) *carobthread.RequestError {
 	return &carobthread.RequestError{State: carobthread.NotRun, Reason: reason, Detail: detail}
 }
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"carobthread"
+	"carobthread/tracer"
 )
 
 // link is the dialled connection to one peer. It is opened by the first call;
@@ -67,7 +68,7 @@
 		return nil, refuse(carobthread.ReasonDeadlinePassed, ctx.Err().Error())
 	}
 	deadline, _ := ctx.Deadline()
-	return &envelope{DeadlineMicros: deadline.UnixMicro(), TraceParent: injectTrace(ctx), Body: body}, nil
+	return &envelope{DeadlineMicros: deadline.UnixMicro(), TraceParent: tracer.Inject(ctx), Body: body}, nil
 }
 
 func (link *link) outcome(err error, begun bool) error {
--- a/server/execution.go
+++ b/server/execution.go
@@ -50,8 +50,9 @@
 	searchers map[string]carobthread.Searcher
 	nextCall  executor.CallID
 	pending   map[executor.CallID]chan executor.Action
-	working   int           // attempts and forwards in progress
-	idle      chan struct{} // closed when nothing is pending or working; nil while nobody waits
+	spans     map[string]trace.SpanContext // of the calls in progress, by key; runs and forwards become their children
+	working   int                          // attempts and forwards in progress
+	idle      chan struct{}                // closed when nothing is pending or working; nil while nobody waits
 }
 
 var (
@@ -65,6 +66,7 @@
 		options:   options,
 		searchers: map[string]carobthread.Searcher{},
 		pending:   map[executor.CallID]chan executor.Action{},
+		spans:     map[string]trace.SpanContext{},
 	}
 }
 
@@ -220,6 +222,8 @@
 	if err := json.Unmarshal(params, &call); err != nil {
 		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonMalformedKey, Detail: err.Error()}
 	}
+	ctx, span := execution.options.Tracer.Start(ctx, method)
+	defer span.End()
 	switch method {
 	case MethodExecute:
 		return execution.execute(ctx, &executor.ExecuteCalled{
@@ -247,6 +251,8 @@
 }
 
 func (execution *Execution) ask(ctx context.Context, key string, event func(call executor.CallID) executor.Event) executor.Outcome {
+	execution.traceKey(key, trace.SpanContextFromContext(ctx))
+	defer execution.traceKey(key, trace.SpanContext{})
 	action, err := execution.call(ctx, event)
 	if err != nil {
 		return executor.Outcome{Key: key, Status: executor.StatusUnknown, Reason: carobthread.ReasonTimeout}
@@ -254,6 +260,17 @@
 	return action.Answer.Outcome
 }
 
+// traceKey names the span under which a key is worked on; an invalid one forgets the key.
+func (execution *Execution) traceKey(key string, span trace.SpanContext) {
+	execution.mutex.Lock()
+	defer execution.mutex.Unlock()
+	if span.IsValid() {
+		execution.spans[key] = span
+	} else {
+		delete(execution.spans, key)
+	}
+}
+
 // call steps the core with a new call and waits for its answer; a caller that leaves does not end the run.
 func (execution *Execution) call(ctx context.Context, event func(call executor.CallID) executor.Event) (executor.Action, error) {
 	answer := make(chan executor.Action, 1)
@@ -313,10 +330,11 @@
 }
 
 // workLocked runs the work in a goroutine and then steps the core with the event that it returns.
-func (execution *Execution) workLocked(span time.Duration, work func(ctx context.Context) executor.Event) {
+func (execution *Execution) workLocked(key string, span time.Duration, work func(ctx context.Context) executor.Event) {
 	execution.working++
+	parent := trace.ContextWithSpanContext(context.Background(), execution.spans[key])
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), span+lateGrace)
+		ctx, cancel := context.WithTimeout(parent, span+lateGrace)
 		defer cancel()
 		event := work(ctx)
 		execution.mutex.Lock()
@@ -330,7 +348,7 @@
 // sendLocked starts one attempt; it has its own context, since the run goes on when its caller leaves.
 func (execution *Execution) sendLocked(now carobthread.Instant, send *executor.SendRun) {
 	searcher, known := execution.searchers[send.Searcher]
-	execution.workLocked(send.Deadline.Sub(now), func(ctx context.Context) executor.Event {
+	execution.workLocked(send.Key, send.Deadline.Sub(now), func(ctx context.Context) executor.Event {
 		ended := &executor.AttemptEnded{Attempt: send.Attempt, Key: send.Key, Status: executor.StatusNotRun, Reason: carobthread.ReasonNoReplica}
 		if known {
 			execution.run(ctx, searcher, send, ended)
@@ -399,7 +417,9 @@
 	if deadline != 0 {
 		span = deadline.Sub(now)
 	}
-	execution.workLocked(span, func(ctx context.Context) executor.Event {
+	execution.workLocked(call.Key, span, func(ctx context.Context) executor.Event {
+		ctx, hop := execution.options.Tracer.Start(ctx, "forward", trace.WithAttributes(attribute.String("peer", forward.Host)))
+		defer hop.End()
 		ended := &executor.ForwardEnded{Call: forward.Call}
 		err := execution.options.Peers.Call(ctx, forward.Host, method, call, &ended.Outcome)
 		ended.Failed = err != nil || ended.Outcome.Key != call.Key
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -96,5 +96,8 @@
 
 // Extract returns the context with the trace of a traceparent string; a malformed one is ignored.
 func Extract(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
 	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceparent: parent})
 }
