Hedge a second time sooner and spread above the fair share of local slots

Cause: with 120 shards and 1 reply in 100 slow, one hedge in twenty is late itself, and the next one waited for the whole delay again. A data centre with two entry hosts sent three quarters of the capacity of its own searchers to them before it used the others.

Change: the second hedge of a shard follows after half a median. The hedge quantile is 0.97, since 0.96 then empties the 5% budget. A hedge that finds no slot tries again after 1 ms. Above its fair share of a local searcher's slots, a host lets the remote replicas compete by cost.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -7,7 +7,7 @@
 )
 
 // pollInterval is the least time between two tries to hedge or retry what the budget or the slots did not permit.
-const pollInterval = 2 * time.Millisecond
+const pollInterval = time.Millisecond
 
 // sendChunk is the number of attempts that share one allocation.
 const sendChunk = 32
@@ -65,6 +65,10 @@
 	state.tried |= replicaBit(index)
 	state.checkAt = 0
 	if delay := service.latency.hedge; delay > 0 && gatherer.inForce() {
+		if state.flying > 1 {
+			// The shard is late already, and with 120 shards one hedge in twenty is late itself.
+			delay = min(delay, service.latency.median/2)
+		}
 		state.checkAt = gatherer.now.Add(delay)
 		gatherer.wake(query, state.checkAt)
 	}
@@ -119,7 +123,7 @@
 	}
 	if index < 0 || !service.pay(kind) {
 		gatherer.stats.BudgetRefused++
-		state.checkAt = gatherer.now.Add(max(pollInterval, service.latency.hedge/2))
+		state.checkAt = gatherer.now.Add(pollInterval)
 		return
 	}
 	gatherer.send(query, shard, index, kind)
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -110,12 +110,17 @@
 		return classMayHold
 	case searcher.ejection.Avoided(gatherer.now):
 		return classAvoided
-	case searcher.local:
+	case searcher.local && searcher.limit.Running() < gatherer.fairShare(searcher):
 		return classLocal
 	}
 	return classRemote
 }
 
+// fairShare returns this host's part of a local searcher's slots; above it the remote replicas compete by cost.
+func (gatherer *Gatherer) fairShare(searcher *searcherRow) int {
+	return (searcher.limit.Limit() + gatherer.localHosts - 1) / gatherer.localHosts
+}
+
 // replicaBit returns the bit of a replica in the tried set; replicas past the 63rd share one.
 func replicaBit(index int) uint64 { return 1 << min(index, 63) }
 
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -239,6 +239,13 @@
 		}
 	}
 	gatherer.liveHosts = max(1, live)
+	gatherer.localHosts = 0
+	for _, host := range view.Hosts {
+		if host.State != carobthread.HostLeaving && host.DataCentre == gatherer.dataCentre {
+			gatherer.localHosts++
+		}
+	}
+	gatherer.localHosts = max(1, gatherer.localHosts)
 	for _, searcher := range gatherer.searcherList {
 		searcher.local = gatherer.isLocal(searcher)
 	}
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -24,6 +24,7 @@
 	configured bool
 	dataCentre string
 	liveHosts  int
+	localHosts int
 
 	services     map[string]*serviceRow
 	serviceList  []*serviceRow
@@ -58,14 +59,15 @@
 // New returns a gatherer without configuration; the seed fixes its random choices.
 func New(seed uint64, options Options) *Gatherer {
 	return &Gatherer{
-		options:   options,
-		random:    rand.New(rand.NewPCG(seed, 0)),
-		liveHosts: 1,
-		services:  map[string]*serviceRow{},
-		searchers: map[string]*searcherRow{},
-		queries:   map[carobthread.QueryID]*queryRow{},
-		attempts:  map[carobthread.AttemptID]*attemptRow{},
-		stats:     Stats{Refusals: map[carobthread.Reason]uint64{}},
+		options:    options,
+		random:     rand.New(rand.NewPCG(seed, 0)),
+		liveHosts:  1,
+		localHosts: 1,
+		services:   map[string]*serviceRow{},
+		searchers:  map[string]*searcherRow{},
+		queries:    map[carobthread.QueryID]*queryRow{},
+		attempts:   map[carobthread.AttemptID]*attemptRow{},
+		stats:      Stats{Refusals: map[carobthread.Reason]uint64{}},
 	}
 }
 
--- a/gatherer/latency.go
+++ b/gatherer/latency.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// defaultHedgeQuantile leaves a fifth of the 5% budget for second hedges and retries.
-	defaultHedgeQuantile = 0.96
+	// defaultHedgeQuantile leaves two fifths of the 5% budget for second hedges and retries; 0.96 empties it when 1 reply in 100 is slow.
+	defaultHedgeQuantile = 0.97
 	// minSamples is the number of latencies below which quantiles are not used.
 	minSamples    = 32
 	windows       = 3
