Report processor time a sub-request in the fan-out benchmark

Change: BenchmarkFanOut reports processor time of the whole process for each sub-request of both sides.

Before: rates only.

--- a/server/throughput_test.go
+++ b/server/throughput_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,6 +116,32 @@
 	return config
 }
 
+// processTime returns the processor time of this process so far, callers and searchers included.
+func processTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// rates sums the rounds of one side.
+type rates struct {
+	queriesPerSecond float64
+	processor        time.Duration
+}
+
+func (sum *rates) round(b *testing.B, client carobthreadv1connect.QueryServiceClient) {
+	b.Helper()
+	before := processTime(b)
+	sum.queriesPerSecond += queryRate(b, client)
+	sum.processor += processTime(b) - before
+}
+
+// microsPerSubRequest returns the processor time of a sub-request in microseconds.
+func (sum *rates) microsPerSubRequest(rounds int) float64 {
+	return float64(sum.processor.Microseconds()) / float64(rounds*benchRound*benchFanOut)
+}
+
 // queryRate sends queries from concurrent callers and returns queries per second of complete answers.
 func queryRate(b *testing.B, client carobthreadv1connect.QueryServiceClient) float64 {
 	b.Helper()
@@ -163,15 +190,16 @@
 	plain := startQueryService(b, bare)
 	queryRate(b, plain)
 	queryRate(b, tier)
-	var plainRate, tierRate float64
+	var bareRates, tierRates rates
 	rounds := 0
 	for b.Loop() {
-		plainRate += queryRate(b, plain)
-		tierRate += queryRate(b, tier)
+		bareRates.round(b, plain)
+		tierRates.round(b, tier)
 		rounds++
 	}
-	assert.Assert(b, rounds > 0)
-	b.ReportMetric(plainRate/float64(rounds), "bare-queries/s")
-	b.ReportMetric(tierRate/float64(rounds), "tier-queries/s")
-	b.ReportMetric(tierRate/plainRate, "ratio")
+	b.ReportMetric(bareRates.queriesPerSecond/float64(rounds), "bare-queries/s")
+	b.ReportMetric(tierRates.queriesPerSecond/float64(rounds), "tier-queries/s")
+	b.ReportMetric(tierRates.queriesPerSecond/bareRates.queriesPerSecond, "ratio")
+	b.ReportMetric(bareRates.microsPerSubRequest(rounds), "bare-cpu-us/sub-request")
+	b.ReportMetric(tierRates.microsPerSubRequest(rounds), "tier-cpu-us/sub-request")
 }
