--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -1,5 +1,9 @@
 package gatherer
 
+// An attempt is sent, queued for a slot, or not sent at all because its shard is closed.
+// Only send puts an attempt in flight, and only release takes it out again, so the counts
+// of searchers and of the tables agree.
+
 import (
 	"time"
 
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// The choice ranks the replicas of a shard by class and takes the cheaper of two random ones
+// of the best class. What searchers report of themselves never changes the class.
+
 import (
 	"slices"
 	"time"
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// The configuration and the view replace the former ones. Rows of searchers, services and layouts
+// that are no longer named stay until no attempt or query refers to them.
+
 import (
 	"slices"
 	"time"
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// A plan is the layout and snapshot for a query. It is computed again only when something
+// that it depends on has changed or after planAge, since it looks at every replica.
+
 import (
 	"time"
 
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// A query is refused before any attempt is sent, or it ends with exactly one answer unless its
+// caller has gone.
+
 import (
 	"container/heap"
 	"math"
@@ -75,7 +78,7 @@
 	for i := range plan.layout.shards {
 		row := &plan.layout.shards[i]
 		wait := time.Duration(len(row.waiting)) * service.latency.median / time.Duration(max(1, row.slots()))
-		if waitMargin*wait+service.latency.fast <= left {
+		if waitMargin*wait+service.latency.median+service.latency.hedge <= left {
 			inTime++
 		}
 	}
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// A reply is checked against its attempt, taught to the tables and then settled in the candidate
+// of its snapshot and layout. What it cannot settle is recovered by another attempt or a move.
+
 import (
 	"slices"
 	"time"
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// Attempts without a free slot wait in a bounded queue of their shard, oldest first, until a
+// slot is free or the query ends. A waiting attempt is paid for; leaving the queue refunds it.
+
 import (
 	"slices"
 
