Let attempts wait for a connection at the connection limit

Cause: an attempt beyond a searcher's connection limit failed at once.

Change: at the limit an attempt waits for a connection of its own host, as an HTTP client with a bounded pool does. A test requires that the baseline's answers are complete.

--- a/bencher/check_test.go
+++ b/bencher/check_test.go
@@ -172,3 +172,11 @@
 		assert.Assert(t, runs[0].Execute().Broken[expected.invariant] > 0, "%s", expected.invariant)
 	}
 }
+
+// TestBaselineWaitsForAll guards against a baseline that looks fast because it answers without its slow shards.
+func TestBaselineWaitsForAll(t *testing.T) {
+	selection := bencher.Selection{Scenarios: []string{"target-fan-out"}, Faults: []string{"straggler"}}
+	runs, err := selection.Runs(bencher.Policies()[1:2])
+	assert.NilError(t, err)
+	assert.Equal(t, runs[0].Execute().CompleteShare, 1.0)
+}
--- a/bencher/host.go
+++ b/bencher/host.go
@@ -1,6 +1,7 @@
 package bencher
 
 import (
+	"slices"
 	"time"
 
 	"carobthread"
@@ -11,6 +12,8 @@
 	open   int
 	busy   int
 	target int
+	// waiting holds the attempts that need one of the open connections.
+	waiting []*job
 }
 
 // host performs the actions of one entry host's core and passes events to it.
@@ -67,23 +70,35 @@
 	}
 }
 
-// send carries an attempt to its searcher, over a new connection when no open one is free.
+// send carries an attempt to its searcher.
 func (host *entryHost) send(send *carobthread.SendAttempt) {
 	searcher := host.simulation.searcherNamed[send.Searcher]
-	pool := host.pool(send.Searcher)
-	work := &job{host: host, send: *send, searcher: searcher, pool: pool}
+	work := &job{host: host, send: *send, searcher: searcher, pool: host.pool(send.Searcher)}
 	host.jobs[send.Attempt] = work
+	host.dispatch(work)
+}
+
+// dispatch sends a job over an open connection or a new one. At the searcher's connection limit it waits
+// for a connection of the host, and fails if the host has none.
+func (host *entryHost) dispatch(work *job) {
+	searcher, pool := work.searcher, work.pool
 	delay := host.simulation.delay(host, searcher)
-	if pool.busy >= pool.open {
-		if searcher.connections >= searcher.config.Connections {
-			pool.busy++
-			host.simulation.after(0, func() { work.end(carobthread.ReplyFailed) })
-			return
-		}
+	switch {
+	case pool.busy < pool.open:
+	case searcher.connections < searcher.config.Connections:
 		pool.open++
 		searcher.connections++
 		delay += host.simulation.scenario.ConnectTime
+	case pool.open > 0:
+		pool.waiting = append(pool.waiting, work)
+		return
+	default:
+		work.connected = true
+		pool.busy++
+		host.simulation.after(0, func() { work.end(carobthread.ReplyFailed) })
+		return
 	}
+	work.connected = true
 	pool.busy++
 	host.simulation.after(delay, func() {
 		if host.simulation.reachable(host, searcher) {
@@ -122,11 +137,23 @@
 	})
 }
 
-// release frees the connection of a job once.
+// release frees the connection of a job once and gives it to the job that has waited longest.
 func (host *entryHost) release(work *job) {
-	if host.jobs[work.send.Attempt] != nil {
-		delete(host.jobs, work.send.Attempt)
-		work.pool.busy--
+	if host.jobs[work.send.Attempt] == nil {
+		return
+	}
+	delete(host.jobs, work.send.Attempt)
+	pool := work.pool
+	if !work.connected {
+		work.ended = true
+		pool.waiting = slices.DeleteFunc(pool.waiting, func(other *job) bool { return other == work })
+		return
+	}
+	pool.busy--
+	if len(pool.waiting) > 0 {
+		next := pool.waiting[0]
+		pool.waiting = pool.waiting[1:]
+		host.dispatch(next)
 	}
 }
 
--- a/bencher/searcher.go
+++ b/bencher/searcher.go
@@ -21,6 +21,8 @@
 	snapshot uint64
 	running  bool
 	ended    bool
+	// connected says that the job holds a connection of its pool.
+	connected bool
 }
 
 // searcher is a fake upstream: slots, a bounded queue, service times, held snapshots and layouts.
