Check the extended bytes on full-size tables, spread only news of the list

Cause: the bytes at 6,900 hosts rest on a line over log2(hosts), which needs a check at that size. The check showed 2,280 B/s of exchanges at any table size: a starting host repeated every entry of its first list of hosts as news.

Change: the first list a host reads starts no rumours, since each host reads it. The pair of hosts with full-size tables also counts the bytes of its exchanges.

--- a/estimator/node.go
+++ b/estimator/node.go
@@ -252,14 +252,16 @@
 	fleet.byName[name].step(relayer.Event{Searcher: &tracker.SearcherSeen{Searcher: searcher, Leaving: true}})
 }
 
-// Reader returns the reader in charge of a data centre as its live hosts see it.
+// Reader returns the first running reader of a data centre as its live hosts see it.
 func (fleet *Fleet) Reader(centre string) (string, error) {
 	for _, node := range fleet.nodes {
 		if !node.alive || node.host.DataCentre != centre {
 			continue
 		}
-		if readers := node.core.Readers(centre); len(readers) > 0 && fleet.byName[readers[0]].alive {
-			return readers[0], nil
+		for _, reader := range node.core.Readers(centre) {
+			if fleet.byName[reader].alive {
+				return reader, nil
+			}
 		}
 	}
 	return "", errors.New("no reader in " + centre)
--- a/estimator/pair.go
+++ b/estimator/pair.go
@@ -30,11 +30,13 @@
 	hosts   []byte
 	index   []byte
 	worked  time.Duration
+	bytes   int // of exchanges, both ends
 	failure error
 }
 
-// pairCPU returns the percent of a core that one of two hosts with that many known hosts and objects takes.
-func pairCPU(hosts, objects int) (float64, error) {
+// pairLoad returns the percent of a core and the bytes of exchanges per second that one of two hosts takes, which
+// know that many hosts and objects.
+func pairLoad(hosts, objects int) (percent, bytes float64, err error) {
 	run := &pair{clock: timer.New(), now: start}
 	for i := range hosts {
 		run.known = append(run.known, carobthread.Host{
@@ -51,9 +53,10 @@
 		}, run.now)
 	}
 	run.pass(2 * time.Second) // start, with the list of hosts
-	run.worked = 0
+	run.worked, run.bytes = 0, 0
 	run.pass(pairSpan)
-	return 100 * run.worked.Seconds() / float64(len(run.cores)) / pairSpan.Seconds(), run.failure
+	hostSeconds := float64(len(run.cores)) * pairSpan.Seconds()
+	return 100 * run.worked.Seconds() / hostSeconds, float64(run.bytes) / hostSeconds, run.failure
 }
 
 // searcherState returns a state with that many searchers in force, and the index that names them.
@@ -146,6 +149,9 @@
 		run.failure = err
 		return nil
 	}
+	if method == relayer.MethodExchange {
+		run.bytes += 2 * (len(frame) + len(reply))
+	}
 	result, err := messenger.DecodeReply(reply)
 	if err != nil {
 		run.failure = err
--- a/estimator/target.go
+++ b/estimator/target.go
@@ -38,16 +38,19 @@
 
 // targetCPU extends the CPU of a pair of hosts along the size of their tables, at the target's rates.
 func (run *measurement) targetCPU() error {
-	var hosts, percents []float64
+	var hosts, percents, bytes []float64
 	for _, known := range []int{900, 2700, 4500, targetHosts} {
-		percent, err := pairCPU(known, targetObjects)
+		percent, rate, err := pairLoad(known, targetObjects)
 		if err != nil {
 			return err
 		}
 		hosts = append(hosts, float64(known))
 		percents = append(percents, percent)
+		bytes = append(bytes, rate)
 	}
 	fit := run.addFit(NewFit("CPU with 32,000 objects", "% of a core per host", "known hosts", hosts, percents))
+	exchanges := run.addFit(NewFit("bytes of exchanges with 32,000 objects", "B/s per host", "known hosts", hosts, bytes))
+	run.addAt("bytes of exchanges", exchanges, targetHosts, 0, "pair of hosts with the target's tables; checks the lines of bytes and of rumours")
 	run.addAt("CPU", fit, targetHosts, budgetCPU, "pair of hosts with the target's tables; cores and encoding, without TCP")
 	return nil
 }
@@ -179,7 +182,7 @@
 		fit := run.addFit(NewFit("slowest propagation, "+condition, "s", "log2(hosts)", hosts, spans))
 		figure, deviation := fit.At(math.Log2(targetHosts))
 		if missed > 0 {
-			most = math.Inf(1)
+			most = math.MaxFloat64 // JSON has no infinity
 		}
 		run.add(Line{
 			Quantity: fit.Quantity, Unit: "s", Figure: max(figure, most), Error: deviation,
--- a/tracker/list.go
+++ b/tracker/list.go
@@ -14,10 +14,12 @@
 // only when the list turns from live to leaving, and only if the host's
 // incarnation is older than the lag, since it may speak of the one before.
 func (tracker *Tracker) list(now carobthread.Instant, hosts []carobthread.Host) {
+	first := !tracker.listRead
+	tracker.listRead = true
 	listed := make(map[string]bool, len(hosts))
 	for _, host := range hosts {
 		listed[host.Name] = true
-		tracker.listHost(now, host)
+		tracker.listHost(now, host, first)
 	}
 	for _, row := range tracker.table.rows {
 		if !listed[row.record.Name] {
@@ -26,7 +28,7 @@
 	}
 }
 
-func (tracker *Tracker) listHost(now carobthread.Instant, host carobthread.Host) {
+func (tracker *Tracker) listHost(now carobthread.Instant, host carobthread.Host, first bool) {
 	next := listedLive
 	if host.State == carobthread.HostLeaving {
 		next = listedLeaving
@@ -37,7 +39,11 @@
 	}
 	row := tracker.table.get(host.Name)
 	if row == nil {
-		tracker.learn(now, Near, stated)
+		tracker.table.put(stated, now)
+		tracker.changes.View = true
+		if !first { // each host reads the list when it starts, so its first content is no news
+			tracker.rumours.add(hostPrefix+host.Name, now)
+		}
 		tracker.table.get(host.Name).listing = next
 		return
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -86,6 +86,7 @@
 	random     *rand.Rand
 	nextBucket uint32
 	relearning carobthread.Instant
+	listRead   bool
 	changes    Changes
 }
 
