Split the published index into a top value and 256 buckets

Cause: a reader read the whole index, 800 KB at 32,000 objects, at each ticket.

Change: the lines object = number move to the keys index/000 to index/255 by the xxhash of the object id, with the function that the digest uses. The key index holds the revision, a 32-bit hash of each bucket's lines and the lines with the highest numbers (at least 16, more while the value is under 3.5 KB). The hash can be computed from the state in force, so a reader reads the objects of the recent lines and then only the buckets that still differ. A publisher writes objects, buckets and the top value, each with the revision that it replaces, and reads the buckets again after the top value, so that the last writer has seen every bucket whose writer is done. A ticket cut between its buckets and the top value is completed by submitting it again.

Half-published values: a bucket above the top value's revision is newer and is taken; a bucket or an object that is older than what names it, or that is missing, is read again after a backoff of 0.5 s to 4 s. Before, an object older than its line was not read again until the next ticket. A top value that cannot be read no longer confirms the state when the next watch ends unchanged. What a start reads beyond a fetched state stays bounded by 64 calls; readers are exempt, as they read everything.

Tests: scripts for the relayer with each value served on its own, for the publisher cut and overtaken at each write, and for the parser. In the existing publisher test only the way of reading the index has changed: it reads the buckets, and also says when the top value is behind one. The fleet script "platform" has 600 searchers instead of 20, so that its faults also meet bucket reads.

--- a/applier/digest.go
+++ b/applier/digest.go
@@ -22,8 +22,9 @@
 // value is the exclusive or of its objects' hashes, so that a change costs the
 // same at any number of objects. Staged tickets are not part of it.
 
-// Buckets is the number of buckets of a digest: at 32,000 objects, one change makes about 125 entries differ.
-const Buckets = 256
+// Buckets is the number of buckets of a digest, those of the published index: at 32,000 objects, one change makes
+// about 125 entries differ.
+const Buckets = parser.Buckets
 
 // Digest is a summary of the state in force; hosts with other numbers of buckets differ in all of them.
 type Digest struct {
@@ -53,10 +54,8 @@
 	members [Buckets][]carobthread.ObjectID
 }
 
-func bucketOf(id carobthread.ObjectID) int { return int(xxhash.Sum64String(string(id)) % Buckets) }
-
 func (table *digestTable) add(id carobthread.ObjectID, hash uint64) {
-	bucket := bucketOf(id)
+	bucket := parser.BucketOf(id)
 	table.buckets[bucket] ^= hash
 	members := table.members[bucket]
 	at, _ := slices.BinarySearch(members, id)
@@ -64,7 +63,7 @@
 }
 
 func (table *digestTable) remove(id carobthread.ObjectID, hash uint64) {
-	bucket := bucketOf(id)
+	bucket := parser.BucketOf(id)
 	table.buckets[bucket] ^= hash
 	members := table.members[bucket]
 	at, _ := slices.BinarySearch(members, id)
@@ -97,6 +96,15 @@
 	return differing
 }
 
+// LinesHash returns the hash that a bucket of the published index has when its lines are those of the state in force.
+func (applier *Applier) LinesHash(bucket int) uint32 {
+	hash := uint32(0)
+	for _, id := range applier.digest.members[bucket] {
+		hash ^= parser.LineHash(id, applier.held[id].object.Ticket)
+	}
+	return hash
+}
+
 // Entries returns the entries of the named buckets, ordered by bucket and id; numbers that name no bucket are skipped.
 func (applier *Applier) Entries(buckets []int) []Entry {
 	entries := []Entry{}
--- a/estimator/capacity.go
+++ b/estimator/capacity.go
@@ -153,10 +153,22 @@
 	return err
 }
 
-// load publishes and restarts at even spacing over the span and returns the sample.
+// load drives the fleet over the span and returns the sample.
 func (run *measurement) load(fleet *Fleet, tickets, restarts float64, span time.Duration) Sample {
-	fleet.ResetTraffic()
 	workBefore := fleet.stepTime
+	fleet.drive(tickets, restarts, span)
+	hostSeconds := span.Seconds() * float64(len(fleet.nodes))
+	sample := Sample{
+		Hosts: len(fleet.nodes), TicketsPerDay: tickets, RestartsPerDay: restarts, Load: fleet.Load(),
+		CPUPercent: 100 * (fleet.stepTime - workBefore).Seconds() / hostSeconds,
+	}
+	run.report.Samples = append(run.report.Samples, sample)
+	return sample
+}
+
+// drive resets the traffic, and publishes and restarts at even spacing over the span; rates are a day.
+func (fleet *Fleet) drive(tickets, restarts float64, span time.Duration) {
+	fleet.ResetTraffic()
 	end := fleet.now.Add(span)
 	published, restarted := 0, 0
 	for begin := fleet.now; fleet.now < end; {
@@ -172,13 +184,6 @@
 		}
 	}
 	fleet.ForgetTickets()
-	hostSeconds := span.Seconds() * float64(len(fleet.nodes))
-	sample := Sample{
-		Hosts: len(fleet.nodes), TicketsPerDay: tickets, RestartsPerDay: restarts, Load: fleet.Load(),
-		CPUPercent: 100 * (fleet.stepTime - workBefore).Seconds() / hostSeconds,
-	}
-	run.report.Samples = append(run.report.Samples, sample)
-	return sample
 }
 
 // measureJoin notes the bytes that one start costs beside its objects, both ends counted.
@@ -235,15 +240,11 @@
 	return stats.HeapAlloc
 }
 
-// stateMemory returns the heap of a configuration state with that number of searchers, in MB, and the
-// encoded size of the index that names them.
-func stateMemory(searchers int) (memory float64, index int) {
+// stateMemory returns the heap of a configuration state with that number of searchers, in MB.
+func stateMemory(searchers int) float64 {
 	before := heapSize()
-	state, encoded := searcherState(searchers)
-	index = len(encoded)
-	encoded = nil
-	memory = float64(heapSize()-before) / (1 << 20)
-	runtime.KeepAlive(encoded)
+	state, _ := searcherState(searchers)
+	memory := float64(heapSize()-before) / (1 << 20)
 	runtime.KeepAlive(state)
-	return memory, index
+	return memory
 }
--- a/estimator/fleet_test.go
+++ b/estimator/fleet_test.go
@@ -53,6 +53,7 @@
 		settings := estimator.Settings{Centres: 3, Searchers: 20, Seed: 1}
 		data.ScanArgs(t, "hosts", &settings.Hosts)
 		data.MaybeScanArgs(t, "seed", &settings.Seed)
+		data.MaybeScanArgs(t, "searchers", &settings.Searchers)
 		if data.HasArg("lossy") {
 			settings.Loss = 0.01
 		}
--- a/estimator/pair.go
+++ b/estimator/pair.go
@@ -35,13 +35,7 @@
 
 // pairCPU returns the percent of a core that one of two hosts with that many known hosts and objects takes.
 func pairCPU(hosts, objects int) (float64, error) {
-	run := &pair{clock: timer.New(), now: start}
-	for i := range hosts {
-		run.known = append(run.known, carobthread.Host{
-			Name: fmt.Sprintf("host-%04d", i), DataCentre: fmt.Sprintf("dc%d", i%targetCentres+1),
-			PeerAddress: fmt.Sprintf("10.%d.%d.%d:7400", i%targetCentres, i/250, i%250+1), State: carobthread.HostLive,
-		})
-	}
+	run := &pair{clock: timer.New(), now: start, known: knownHosts(hosts)}
 	var err error
 	if run.hosts, err = json.Marshal(run.known); err != nil {
 		return 0, err
@@ -59,25 +53,27 @@
 	return 100 * run.worked.Seconds() / float64(len(run.cores)) / pairSpan.Seconds(), run.failure
 }
 
-// searcherState returns a state with that many searchers in force, and the index that names them.
+// searcherState returns a state with that many searchers in force, and the top value of the index that names them.
 func searcherState(searchers int) (*applier.Applier, []byte) {
 	state := applier.New(applier.Options{})
-	numbers := parser.Index{Revision: 1, Numbers: map[carobthread.ObjectID]uint64{}}
+	top := parser.NewTop()
 	const perTicket = 10
 	for first := 0; first < searchers; first += perTicket {
 		ticket := &carobthread.Ticket{Number: uint64(first/perTicket + 1)}
 		for i := first; i < first+perTicket; i++ {
-			object := searcherObject(i, 0)
-			ticket.Objects = append(ticket.Objects, object)
-			numbers.Numbers[object.ID] = ticket.Number
+			ticket.Objects = append(ticket.Objects, searcherObject(i, 0))
 		}
+		top.Add(ticket, nil)
 		batch := &applier.Arrived{Source: relayer.SourcePlatform}
 		for _, value := range parser.Publish(ticket) {
 			batch.Values = append(batch.Values, value.Content)
 		}
 		state.Step(applier.Event{Arrived: batch})
 	}
-	return state, parser.EncodeIndex(&numbers)
+	for bucket := range parser.Buckets {
+		top.Buckets[bucket] = state.LinesHash(bucket)
+	}
+	return state, parser.EncodeTop(&top)
 }
 
 func (run *pair) pass(span time.Duration) {
--- a/estimator/platform.go
+++ b/estimator/platform.go
@@ -26,7 +26,9 @@
 type platform struct {
 	fleet   *Fleet
 	values  map[string]carobthread.Value
-	index   parser.Index
+	index   parser.Index // the lines of all buckets
+	top     parser.Top
+	buckets map[int]parser.Index
 	served  map[string]carobthread.Value // what stale reads give, or nil
 	waiting []*waiting
 	down    bool
@@ -48,6 +50,7 @@
 	return &platform{
 		fleet: fleet, values: map[string]carobthread.Value{}, cut: map[string]bool{},
 		index: parser.Index{Numbers: map[carobthread.ObjectID]uint64{}},
+		top:   parser.NewTop(), buckets: map[int]parser.Index{},
 	}
 }
 
@@ -55,7 +58,7 @@
 	platform.values[key] = carobthread.Value{Key: key, Revision: platform.values[key].Revision + 1, Content: content}
 }
 
-// publish writes the objects and then the index, and wakes the watches.
+// publish writes the objects, the buckets and then the top value, and wakes the watches.
 func (platform *platform) publish(objects []carobthread.Object) *carobthread.Ticket {
 	platform.ticket++
 	ticket := &carobthread.Ticket{Number: platform.ticket, Objects: objects}
@@ -65,8 +68,18 @@
 	for i := range objects {
 		platform.index.Numbers[objects[i].ID] = ticket.Number
 	}
-	platform.index.Revision++
-	platform.put(indexKey, parser.EncodeIndex(&platform.index))
+	changed := map[int]parser.Index{}
+	for _, bucket := range parser.BucketsOf(ticket) {
+		index, found := platform.buckets[bucket]
+		if !found {
+			index.Numbers = map[carobthread.ObjectID]uint64{}
+		}
+		index.Add(ticket, bucket, platform.top.Revision)
+		platform.buckets[bucket], changed[bucket] = index, index
+		platform.put(parser.BucketKey(bucket), parser.EncodeIndex(&index))
+	}
+	platform.top.Add(ticket, changed)
+	platform.put(indexKey, parser.EncodeTop(&platform.top))
 	platform.wake(indexKey)
 	return ticket
 }
--- a/estimator/target.go
+++ b/estimator/target.go
@@ -29,6 +29,7 @@
 	calls := run.fit("platform calls", "1/s", "tickets a day", run.byTicket, ticketsOf, func(sample Sample) float64 { return sample.Load.PlatformCalls })
 	changes := run.fit("bytes of rumours", "B/s per host", "restarts a day", run.byChange, restartsOf, rumourBytes)
 	run.targetBytes(bytes, changes)
+	run.targetReader()
 	run.targetMemory(memory)
 	run.addAt("messages", messages, math.Log2(targetHosts), 0, "line over log2(hosts)")
 	run.targetCalls(calls)
@@ -130,12 +131,9 @@
 
 func (run *measurement) targetMemory(memory Fit) {
 	var objects, heaps []float64
-	var index int
 	for _, searchers := range []int{4000, 8000, 16000, 32000} {
-		used, size := stateMemory(searchers)
 		objects = append(objects, float64(searchers))
-		heaps = append(heaps, used)
-		index = size
+		heaps = append(heaps, stateMemory(searchers))
 	}
 	state := run.addFit(NewFit("memory of the state", "MB", "objects", objects, heaps))
 	hosts, hostsError := memory.At(targetHosts)
@@ -144,10 +142,6 @@
 		Quantity: "memory", Unit: "MB", Figure: hosts + held, Error: math.Hypot(hostsError, heldError),
 		Budget: budgetMemory, Basis: "line over hosts + line over objects; heap of the cores",
 	})
-	run.add(Line{
-		Quantity: "platform bytes of one reader", Unit: "B/s", Figure: float64(index) * targetTickets / secondsOfDay,
-		Basis: "the index of 32,000 objects, read once a ticket; 18 hosts read it",
-	})
 }
 
 // targetCalls scales the calls for each reader to the readers of the target, and adds two reads for each start.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -276,18 +276,24 @@
 	return stored.Revision, accepted, nil
 }
 
-// Publish stores a ticket as the operators' tool does: its objects first and the index last.
+// Publish stores a ticket as the operators' tool does: its objects, then its buckets of the index, the top value last.
 func (platform *Platform) Publish(ticket *carobthread.Ticket) error {
-	values := parser.Publish(ticket)
-	if err := platform.PublishPart(ticket, len(values)); err != nil {
+	if err := platform.PublishPart(ticket, len(ticket.Objects)); err != nil {
 		return err
 	}
-	index := platform.index()
-	index.Revision++
-	for _, object := range ticket.Objects {
-		index.Numbers[object.ID] = max(index.Numbers[object.ID], ticket.Number)
+	top, _ := parser.DecodeTop(parser.IndexKey, platform.newest(parser.IndexKey, parser.EncodeTop(&parser.Top{})))
+	buckets := map[int]parser.Index{}
+	for _, bucket := range parser.BucketsOf(ticket) {
+		key := parser.BucketKey(bucket)
+		index, _ := parser.DecodeIndex(key, platform.newest(key, parser.EncodeIndex(&parser.Index{})))
+		index.Add(ticket, bucket, top.Revision)
+		buckets[bucket] = index
+		if _, err := platform.Put(key, parser.EncodeIndex(&index)); err != nil {
+			return err
+		}
 	}
-	_, err := platform.Put(parser.IndexKey, parser.EncodeIndex(&index))
+	top.Add(ticket, buckets)
+	_, err := platform.Put(parser.IndexKey, parser.EncodeTop(&top))
 	return err
 }
 
@@ -301,14 +307,13 @@
 	return nil
 }
 
-// index returns the newest index on the operators' side; without one it is empty.
-func (platform *Platform) index() parser.Index {
+// newest returns the newest content of a key on the operators' side, or the given one for a key without a value.
+func (platform *Platform) newest(key string, empty []byte) []byte {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
-	values := platform.history[parser.IndexKey]
+	values := platform.history[key]
 	if len(values) == 0 {
-		return parser.Index{Numbers: map[carobthread.ObjectID]uint64{}}
+		return empty
 	}
-	index, _ := parser.DecodeIndex(parser.IndexKey, values[len(values)-1].Content)
-	return index
+	return values[len(values)-1].Content
 }
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -53,6 +53,12 @@
 			return findings.Error()
 		}
 		return string(parser.EncodeIndex(&index))
+	case "top":
+		top, findings := parser.DecodeTop("index", content)
+		if len(findings) > 0 {
+			return findings.Error()
+		}
+		return string(parser.EncodeTop(&top))
 	default:
 		t.Fatalf("unknown command %q", step.Cmd)
 		return ""
--- a/parser/publish.go
+++ b/parser/publish.go
@@ -9,15 +9,17 @@
 )
 
 // A ticket is published as one platform value for each object, under the key
-// object/ID, and the index, under the key index. An object's value repeats
-// the ticket's number and object list, so that a reader knows from any one
-// value which others belong to the ticket. The encoding is canonical: equal
-// objects give equal bytes, whatever the file they were read from looked like.
+// object/ID, and as lines of the index. An object's value repeats the ticket's
+// number and object list, so that a reader knows from any one value which
+// others belong to the ticket. The encoding is canonical: equal objects give
+// equal bytes, whatever the file they were read from looked like.
 
 // Keys and key prefixes of the platform's values.
 const (
-	// IndexKey holds the ticket number of each object.
+	// IndexKey holds the top value of the index.
 	IndexKey = "index"
+	// BucketPrefix stands before the three digits of a bucket of the index.
+	BucketPrefix = "index/"
 	// ObjectPrefix stands before the id of an object.
 	ObjectPrefix = "object/"
 	// HostsKey holds the platform's list of hosts.
@@ -28,6 +30,8 @@
 	objectSection  = "object"
 	indexSection   = "index"
 	objectsSection = "objects"
+	bucketsSection = "buckets"
+	recentSection  = "recent"
 )
 
 // Published is one object with the ids of all objects of its ticket, ordered.
@@ -36,12 +40,6 @@
 	Objects []carobthread.ObjectID
 }
 
-// Index is the platform's list of objects with their ticket numbers; Revision rises with each published ticket.
-type Index struct {
-	Revision uint64
-	Numbers  map[carobthread.ObjectID]uint64
-}
-
 // ObjectKey returns the platform key of an object.
 func ObjectKey(id carobthread.ObjectID) string { return ObjectPrefix + string(id) }
 
@@ -124,54 +122,6 @@
 	return published
 }
 
-// EncodeIndex returns the canonical value of the index, ordered by object id.
-func EncodeIndex(index *Index) []byte {
-	ids := make([]carobthread.ObjectID, 0, len(index.Numbers))
-	for id := range index.Numbers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	writer := &writer{}
-	writer.section(indexSection)
-	writer.key("revision", strconv.FormatUint(index.Revision, 10))
-	writer.section(objectsSection)
-	for _, id := range ids {
-		// No spaces: at 32,000 searchers the index must stay under the platform's 1 MB.
-		writer.WriteString(string(id) + "=" + strconv.FormatUint(index.Numbers[id], 10) + "\n")
-	}
-	return []byte(writer.String())
-}
-
-// DecodeIndex reads the index; file names its origin in findings.
-func DecodeIndex(file string, content []byte) (Index, carobthread.Findings) {
-	doc := scan(file, content)
-	index := Index{Numbers: map[carobthread.ObjectID]uint64{}}
-	doc.demand(indexSection, objectsSection)
-	for _, current := range doc.sections {
-		switch current.name {
-		case indexSection:
-			doc.read(current, required("revision", integer(&index.Revision, 0, maxNumber)))
-		case objectsSection:
-			doc.numbers(current, index.Numbers)
-		default:
-			doc.report(current.at, "unknown section [%s]", current.name)
-		}
-	}
-	return index, ordered(doc.findings)
-}
-
-func (doc *document) numbers(current *section, numbers map[carobthread.ObjectID]uint64) {
-	for _, held := range current.entries {
-		if err := checkID(held.name); err != nil {
-			doc.report(held.at, "%v", err)
-			continue
-		}
-		var number uint64
-		doc.convert(held, integer(&number, 1, maxNumber))
-		numbers[carobthread.ObjectID(held.name)] = number
-	}
-}
-
 // writer builds INI text.
 type writer struct{ strings.Builder }
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -10,7 +10,7 @@
 	"carobthread/parser"
 )
 
-// indexAttempts bounds how often the index is merged again because another operator has written it.
+// indexAttempts bounds how often a value of the index is merged again because another operator has written it.
 const indexAttempts = 5
 
 // ErrReplaced says that another operator has written a value since it was read.
@@ -37,18 +37,18 @@
 	file   string
 	ticket carobthread.Ticket
 	store  Store
-	index  parser.Index
+	index  index
 	// revisions are those of the objects' present values.
 	revisions map[string]uint64
 }
 
 // Submit checks a ticket file against the platform's objects and publishes it; bad input gives carobthread.Findings.
 func Submit(ctx context.Context, store Store, file string, content []byte) (Result, error) {
-	index, _, err := readIndex(ctx, store)
+	index, err := readIndex(ctx, store)
 	if err != nil {
 		return Result{}, err
 	}
-	ticket, findings := parser.TicketIn(file, content, func(id carobthread.ObjectID) bool { return index.Numbers[id] > 0 })
+	ticket, findings := parser.TicketIn(file, content, func(id carobthread.ObjectID) bool { return index.numbers[id] > 0 })
 	if len(findings) > 0 {
 		return Result{}, findings
 	}
@@ -65,11 +65,11 @@
 
 // Known returns a function that reports whether the platform's index names an object.
 func Known(ctx context.Context, store Store) (func(id carobthread.ObjectID) bool, error) {
-	index, _, err := readIndex(ctx, store)
+	index, err := readIndex(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	return func(id carobthread.ObjectID) bool { return index.Numbers[id] > 0 }, nil
+	return func(id carobthread.ObjectID) bool { return index.numbers[id] > 0 }, nil
 }
 
 // compare returns why the ticket would change nothing, or findings when its number is taken by other content.
@@ -83,14 +83,14 @@
 		if err != nil {
 			return "", err
 		}
-		held := max(present.Object.Ticket, submission.index.Numbers[id])
+		held := max(present.Object.Ticket, submission.index.numbers[id])
 		if held > number && reason == "" {
 			reason = fmt.Sprintf("%s is already at ticket %d", id, held)
 		}
 		if present.Object.Ticket == number && string(parser.EncodeObject(&present)) != string(value.Content) {
 			return "", submission.finding("ticket %d is already published with other content or another list for %s", number, id)
 		}
-		indexed = indexed && submission.index.Numbers[id] == number
+		indexed = indexed && submission.index.shows(id, number)
 	}
 	if err := submission.checkNumber(); err != nil {
 		return "", err
@@ -104,7 +104,7 @@
 // checkNumber refuses a number under which the index holds objects of another ticket.
 func (submission *submission) checkNumber() error {
 	others := []carobthread.ObjectID{}
-	for id, number := range submission.index.Numbers {
+	for id, number := range submission.index.numbers {
 		listed := slices.ContainsFunc(submission.ticket.Objects, func(object carobthread.Object) bool { return object.ID == id })
 		if number == submission.ticket.Number && !listed {
 			others = append(others, id)
@@ -134,46 +134,31 @@
 	return published, nil
 }
 
-// publish writes the objects and then the index.
+// publish writes the objects, then the buckets of the index and then its top value.
 func (submission *submission) publish(ctx context.Context) error {
 	for _, value := range parser.Publish(&submission.ticket) {
 		if err := submission.store.Replace(ctx, value.Key, submission.revisions[value.Key], value.Content); err != nil {
 			return fmt.Errorf("ticket %d is not published as a whole, submit it again: %w", submission.ticket.Number, err)
 		}
 	}
-	for range indexAttempts {
-		err := submission.writeIndex(ctx)
-		if !errors.Is(err, ErrReplaced) {
+	for _, bucket := range parser.BucketsOf(&submission.ticket) {
+		if err := submission.merge(func() error { return submission.writeBucket(ctx, bucket) }); err != nil {
 			return err
 		}
 	}
-	return fmt.Errorf("ticket %d is not in the index, submit it again: %w", submission.ticket.Number, ErrReplaced)
+	return submission.merge(func() error { return submission.writeTop(ctx) })
 }
 
-// writeIndex merges the ticket into the index as it is now.
-func (submission *submission) writeIndex(ctx context.Context) error {
-	index, revision, err := readIndex(ctx, submission.store)
-	if err != nil {
-		return err
-	}
-	index.Revision++
-	for _, object := range submission.ticket.Objects {
-		index.Numbers[object.ID] = max(index.Numbers[object.ID], submission.ticket.Number)
-	}
-	return submission.store.Replace(ctx, parser.IndexKey, revision, parser.EncodeIndex(&index))
-}
-
-// readIndex returns the index with the revision of its value; without one it is empty.
-func readIndex(ctx context.Context, store Store) (parser.Index, uint64, error) {
-	value, err := readOrNone(ctx, store, parser.IndexKey)
-	if err != nil || value.Revision == 0 {
-		return parser.Index{Numbers: map[carobthread.ObjectID]uint64{}}, 0, err
+// merge repeats a write that another operator's write has overtaken.
+func (submission *submission) merge(write func() error) error {
+	err := ErrReplaced
+	for attempt := 0; attempt < indexAttempts && errors.Is(err, ErrReplaced); attempt++ {
+		err = write()
 	}
-	index, findings := parser.DecodeIndex(parser.IndexKey, value.Content)
-	if len(findings) > 0 {
-		return parser.Index{}, 0, fmt.Errorf("the platform's index is malformed: %w", findings)
+	if err != nil {
+		return fmt.Errorf("ticket %d is not in the index, submit it again: %w", submission.ticket.Number, err)
 	}
-	return index, value.Revision, nil
+	return nil
 }
 
 // readOrNone returns a value with revision 0 for a key that does not exist.
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -59,7 +61,7 @@
 	})
 }
 
-// submit runs one line of a script: OPERATION BEFORE NUMBER ID...
+// submit runs one line of a script: OPERATION BEFORE NUMBER ID..., where 0 stands for no write.
 func submit(t *testing.T, platform *standin.Platform, client *publisher.Client, words []string) string {
 	t.Helper()
 	at, err := strconv.Atoi(words[1])
@@ -100,8 +102,20 @@
 	if err != nil {
 		return "no index"
 	}
-	index, findings := parser.DecodeIndex(parser.IndexKey, value.Content)
+	top, findings := parser.DecodeTop(parser.IndexKey, value.Content)
 	assert.Equal(t, len(findings), 0)
+	index := parser.Index{Numbers: map[carobthread.ObjectID]uint64{}}
+	behind := ""
+	for _, bucket := range slices.Sorted(maps.Keys(top.Buckets)) {
+		value, err := client.Read(t.Context(), parser.BucketKey(bucket))
+		assert.NilError(t, err)
+		lines, findings := parser.DecodeIndex(value.Key, value.Content)
+		assert.Equal(t, len(findings), 0)
+		maps.Copy(index.Numbers, lines.Numbers)
+		if lines.Hash() != top.Buckets[bucket] {
+			behind = "top value behind, "
+		}
+	}
 	host := applier.New(applier.Options{})
 	batch := &applier.Arrived{Source: "platform"}
 	for _, id := range host.Wanted(index) {
@@ -110,7 +124,7 @@
 		batch.Values = append(batch.Values, object.Content)
 	}
 	host.Step(applier.Event{Arrived: batch})
-	text := []string{fmt.Sprintf("covers %v:", host.Covers(index))}
+	text := []string{fmt.Sprintf("%scovers %v:", behind, host.Covers(index))}
 	for _, object := range host.Status(0).Objects {
 		text = append(text, fmt.Sprintf("%s=%d", object.ID, object.Ticket))
 	}
--- a/relayer/reader.go
+++ b/relayer/reader.go
@@ -9,10 +9,10 @@
 	"carobthread/tracker"
 )
 
-// A reader keeps one watch on the index and one on the list of hosts, and reads
-// the objects that the index names with higher numbers. Whether a host is a
-// reader follows from its view alone, so a host that loses the role only lets
-// its watches end.
+// A reader keeps one watch on the top value of the index and one on the list
+// of hosts; index.go reads what the top value names. Whether a host is a reader
+// follows from its view alone, so a host that loses the role only lets its
+// watches end.
 
 const (
 	watchTimeout     = 30 * time.Second
@@ -32,23 +32,31 @@
 
 type reader struct {
 	index, hosts watch
-	// wanted are objects to read; reading counts open reads, and got what they gave.
-	wanted  []carobthread.ObjectID
-	reading int
-	got     [][]byte
-	lost    []carobthread.ObjectID
+	// wanted are the keys to read, reading counts open reads, and got is what the objects gave. All are offered
+	// together when the last read has ended; pending are the keys since then, so that none is read twice.
+	wanted   []string
+	pending  map[string]bool
+	reading  int
+	answered bool
+	got      [][]byte
+	// lost are the keys to read again at retryAt, after a backoff that grows with retries.
+	lost    []string
 	retryAt carobthread.Instant
-	calls   map[CallID]platformCall
-	// covered says that the state was as new as the last index, whose revision had not gone back.
-	covered         bool
+	retries int
+	// asked holds the hash of each bucket for which it was read last.
+	asked map[int]uint32
+	calls map[CallID]platformCall
+	// highestRevision is that of the highest top value of the index so far.
 	highestRevision uint64
+	// malformed says that the last top value could not be read.
+	malformed bool
 }
 
-// platformCall is an open read or watch.
+// platformCall is an open read or watch; queued says that it is a read of the queue of objects and buckets.
 type platformCall struct {
 	key    string
 	watch  *watch
-	object carobthread.ObjectID
+	queued bool
 }
 
 // reset makes the watches read again, since their state is old after a pause.
@@ -67,11 +75,7 @@
 		relayer.keepWatch(&relayer.reader.index, parser.IndexKey)
 		relayer.keepWatch(&relayer.reader.hosts, parser.HostsKey)
 	}
-	if len(relayer.reader.lost) > 0 && relayer.now >= relayer.reader.retryAt {
-		lost := relayer.reader.lost
-		relayer.reader.lost = nil
-		relayer.want(lost)
-	}
+	relayer.retryLost()
 }
 
 func (relayer *Relayer) keepWatch(watch *watch, key string) {
@@ -100,16 +104,15 @@
 		return
 	}
 	delete(relayer.reader.calls, reply.Call)
-	if open.object != "" {
-		relayer.reader.got = append(relayer.reader.got, reply.Value.Content)
-		relayer.readDone()
+	if open.queued {
+		relayer.queuedRead(open.key, reply.Value.Content)
 		return
 	}
 	if watch := open.watch; watch != nil {
 		watch.open, watch.failures = false, 0
 		if reply.Value.Revision == watch.revision {
-			if watch == &relayer.reader.index && relayer.reader.covered {
-				relayer.confirm(SourcePlatform, relayer.now)
+			if watch == &relayer.reader.index {
+				relayer.noteCovered()
 			}
 			return
 		}
@@ -117,7 +120,7 @@
 	}
 	switch open.key {
 	case parser.HostsKey:
-		relayer.listed(reply.Value.Content)
+		relayer.listed(reply.Value)
 	case parser.IndexKey:
 		relayer.indexRead(open.watch == nil, reply.Value.Content)
 	}
@@ -133,15 +136,13 @@
 	}
 	delete(relayer.reader.calls, failed.Call)
 	switch {
-	case open.object != "":
-		relayer.reader.lost = append(relayer.reader.lost, open.object)
-		relayer.reader.retryAt = relayer.now.Add(relayer.jittered(platformBackoff))
+	case open.queued:
+		relayer.lose(open.key)
 		relayer.readDone()
 	case open.watch != nil:
 		open.watch.open = false
-		span := min(platformBackoff<<min(open.watch.failures, 8), platformMost)
+		open.watch.notUntil = relayer.now.Add(relayer.backoff(open.watch.failures))
 		open.watch.failures++
-		open.watch.notUntil = relayer.now.Add(relayer.jittered(span))
 	case open.key == parser.IndexKey:
 		relayer.start.indexFailed(relayer.now)
 	case open.key == parser.HostsKey:
@@ -154,9 +155,15 @@
 	return span/2 + time.Duration(relayer.random.Int64N(int64(span/2)+1))
 }
 
-func (relayer *Relayer) listed(content []byte) {
+// backoff returns the jittered span before a call that has failed that many times before is made again.
+func (relayer *Relayer) backoff(failures int) time.Duration {
+	return relayer.jittered(min(platformBackoff<<min(failures, 8), platformMost))
+}
+
+func (relayer *Relayer) listed(value carobthread.Value) {
 	relayer.start.hostsKnown = true
-	hosts, err := relayer.options.DecodeHosts(content)
+	relayer.reader.hosts.revision = value.Revision
+	hosts, err := relayer.options.DecodeHosts(value.Content)
 	if err != nil {
 		relayer.act(Action{Finding: &Finding{Source: parser.HostsKey, Cause: err}})
 		return
@@ -170,64 +177,7 @@
 		relayer.start.indexState = answered
 		return
 	}
-	relayer.want(relayer.missing(content))
-}
-
-// missing returns the objects to read for an index, and notes whether the state is current.
-func (relayer *Relayer) missing(index []byte) []carobthread.ObjectID {
-	found, err := relayer.state.compareIndex(index)
-	relayer.noteIndex(found, err)
-	return found.wanted
-}
-
-func (relayer *Relayer) noteIndex(found indexed, err error) {
-	if err != nil {
-		relayer.act(Action{Finding: &Finding{Source: parser.IndexKey, Cause: err}})
-		return
-	}
-	// An index that has gone back says nothing about what is current.
-	relayer.reader.covered = found.covered && found.revision >= relayer.reader.highestRevision
-	relayer.reader.highestRevision = max(relayer.reader.highestRevision, found.revision)
-	if relayer.reader.covered {
-		relayer.confirm(SourcePlatform, relayer.now)
-	}
-}
-
-// want reads objects from the platform, a bounded number at a time.
-func (relayer *Relayer) want(ids []carobthread.ObjectID) {
-	for _, id := range ids {
-		if !slices.Contains(relayer.reader.wanted, id) {
-			relayer.reader.wanted = append(relayer.reader.wanted, id)
-		}
-	}
-	relayer.readNext()
-}
-
-func (relayer *Relayer) readNext() {
-	for relayer.reader.reading < maxParallelReads && len(relayer.reader.wanted) > 0 {
-		object := relayer.reader.wanted[0]
-		relayer.reader.wanted = relayer.reader.wanted[1:]
-		relayer.reader.reading++
-		key := parser.ObjectKey(object)
-		id := relayer.platformCall(platformCall{key: key, object: object})
-		relayer.act(Action{Read: &ReadPlatform{Call: id, Key: key, Deadline: relayer.now.Add(readTimeout)}})
-	}
-}
-
-// readDone offers what was read once all reads have ended, so that a ticket is complete when it is offered.
-func (relayer *Relayer) readDone() {
-	relayer.reader.reading--
-	relayer.readNext()
-	if relayer.reader.reading > 0 {
-		return
-	}
-	got := relayer.reader.got
-	relayer.reader.got = nil
-	activated := relayer.offer(SourcePlatform, got)
-	if len(activated) > 0 {
-		relayer.noteIndex(relayer.state.recheck())
-	}
-	if relayer.start.ready && len(activated) > 0 {
-		relayer.pushRead(activated)
+	if relayer.topRead(content) {
+		relayer.followTop()
 	}
 }
--- a/relayer/start.go
+++ b/relayer/start.go
@@ -46,6 +46,7 @@
 	hostsKnown bool // the platform's list has been read, or it cannot be
 	fetching   bool
 	fetched    bool
+	reads      int  // platform calls that complete a fetched state
 	completed  bool // the objects that the index names beyond the fetched state are being read
 }
 
@@ -86,18 +87,27 @@
 	start := &relayer.start
 	if start.indexState == answered && !start.completed && (start.fetched || relayer.mayReadAll()) {
 		start.completed = true
-		missing := relayer.missing(start.index)
-		start.index = nil
-		if !start.fetched || len(missing) <= maxStartReads {
-			relayer.want(missing)
+		if relayer.topRead(start.index) && relayer.startAllows(len(relayer.newest())+len(relayer.state.differing())) {
+			relayer.followTop()
 		}
+		start.index = nil
 	}
-	idle := relayer.reader.reading == 0 && len(relayer.reader.wanted) == 0
+	idle := relayer.idle()
 	bothKnown := start.completed && idle
 	onlyPeer := start.fetched && start.indexState == unanswered
 	start.ready = relayer.state.Len() > 0 && (bothKnown || onlyPeer)
 }
 
+// startAllows counts the reads that complete a fetched state, and reports whether they are within the bound of a start.
+func (relayer *Relayer) startAllows(reads int) bool {
+	start := &relayer.start
+	if start.ready || !start.fetched || relayer.rank() >= 0 {
+		return true
+	}
+	start.reads += reads
+	return start.reads <= maxStartReads
+}
+
 // mayReadAll reports whether the own host reads the whole state from the platform: as a reader, or without any peer.
 func (relayer *Relayer) mayReadAll() bool {
 	waited := relayer.now.Sub(relayer.start.beganAt) >= peerPatience
--- a/relayer/state.go
+++ b/relayer/state.go
@@ -1,7 +1,8 @@
 package relayer
 
 import (
-	"bytes"
+	"maps"
+	"slices"
 
 	"carobthread"
 	"carobthread/applier"
@@ -16,74 +17,76 @@
 
 // state is the configuration in force with what the exchange and the reader need to know of it.
 //
-// Decoding the whole index of 32,000 objects takes a quarter of a second, so a
-// reader decodes only the lines that differ from the last index that the state
-// covered. The state never goes back, so it still covers the lines left out.
+// A bucket of the index is covered when every object of its lines is in force
+// with at least its number. The state never goes back, so a bucket stays
+// covered until the top value names another content of it.
 type state struct {
 	*applier.Applier
 	highest uint64
-	// covered is the last index whose objects were all in force.
-	covered []byte
-	// latest is the last index, and changed its lines that are not in the covered one.
-	latest, changed []byte
+	top     parser.Top
+	// covered holds, for each bucket, the last hash named by a top value whose lines are in force.
+	covered map[int]uint32
+	// open are the buckets that were read and whose lines are not all in force yet.
+	open map[int]openBucket
 }
 
-// indexed is what an index says beside the state in force.
-type indexed struct {
-	wanted   []carobthread.ObjectID
-	revision uint64
-	covered  bool
+// openBucket is the content of a bucket and the hash under which the top value named it.
+type openBucket struct {
+	lines parser.Index
+	named uint32
 }
 
-// compareIndex takes a new index.
-func (state *state) compareIndex(index []byte) (indexed, error) {
-	state.latest = index
-	state.changed = index
-	if state.covered != nil {
-		state.changed = changedLines(state.covered, index)
+// differing returns the buckets of the top value that are not known to be covered, ascending.
+func (state *state) differing() []int {
+	var differing []int
+	for _, bucket := range slices.Sorted(maps.Keys(state.top.Buckets)) {
+		named := state.top.Buckets[bucket]
+		if held, found := state.covered[bucket]; found && held == named {
+			continue
+		}
+		if state.LinesHash(bucket) == named {
+			state.cover(bucket, named)
+			continue
+		}
+		differing = append(differing, bucket)
 	}
-	return state.recheck()
+	return differing
 }
 
-// recheck compares the last index again.
-func (state *state) recheck() (indexed, error) {
-	decoded, findings := parser.DecodeIndex(parser.IndexKey, state.changed)
-	if len(findings) > 0 {
-		return indexed{}, findings
+func (state *state) cover(bucket int, hash uint32) {
+	if state.covered == nil {
+		state.covered = map[int]uint32{}
 	}
-	covered := state.Covers(decoded)
-	if covered {
-		state.covered = state.latest
-	}
-	return indexed{wanted: state.Wanted(decoded), revision: decoded.Revision, covered: covered}, nil
+	state.covered[bucket] = hash
+	delete(state.open, bucket)
 }
 
-// changedLines returns the index without the object lines that the known one has at the same place of the order.
-// In an index out of order it leaves out fewer lines.
-func changedLines(known, index []byte) []byte {
-	_, knownObjects, _ := bytes.Cut(known, []byte("[objects]\n"))
-	head, objects, found := bytes.Cut(index, []byte("[objects]\n"))
-	if !found {
-		return index
+// bucketRead takes the lines of a bucket, and reports whether they are at least those that the top value names.
+func (state *state) bucketRead(bucket int, lines parser.Index) bool {
+	named := state.top.Buckets[bucket]
+	// A bucket above the top value's revision is newer, and its numbers have not fallen.
+	if lines.Hash() != named && lines.Revision <= state.top.Revision {
+		return false
 	}
-	changed := append(bytes.Clone(head), "[objects]\n"...)
-	old, rest, _ := bytes.Cut(knownObjects, []byte("\n"))
-	for len(objects) > 0 {
-		var line []byte
-		line, objects, _ = bytes.Cut(objects, []byte("\n"))
-		for len(old) > 0 && bytes.Compare(lineID(old), lineID(line)) < 0 {
-			old, rest, _ = bytes.Cut(rest, []byte("\n"))
-		}
-		if !bytes.Equal(old, line) {
-			changed = append(append(changed, line...), '\n')
-		}
+	if state.open == nil {
+		state.open = map[int]openBucket{}
 	}
-	return changed
+	state.open[bucket] = openBucket{lines: lines, named: named}
+	return true
 }
 
-func lineID(line []byte) []byte {
-	id, _, _ := bytes.Cut(line, []byte("="))
-	return id
+// recheck closes the open buckets whose objects are in force, and returns the objects that the others still lack.
+func (state *state) recheck() []carobthread.ObjectID {
+	var lacking []carobthread.ObjectID
+	for _, bucket := range slices.Sorted(maps.Keys(state.open)) {
+		held := state.open[bucket]
+		if state.Covers(held.lines) {
+			state.cover(bucket, held.named)
+			continue
+		}
+		lacking = append(lacking, state.Wanted(held.lines)...)
+	}
+	return lacking
 }
 
 // entries returns the changed objects of a step with their numbers.
