Pace the list of hosts by its size and budget a reader's bytes

A reader read it whole at each change, about 156 KB/s by size times changes, and no budget line of `carobctl capacity` counted what a reader reads from the platform.

Change: after a list of more than 8 KB a reader does not watch the key again before size / 256 B/s has passed. A rate of 1 KB/s would leave no room: bytes between hosts (1690 B/s) and tickets (865 B/s) already take 2555 of the 3000 B/s that the target allows. The list that a starting host reads counts too, so its watch does not read it a second time; a host that resumes from a pause of its own reads it at once. `capacity` prints the platform bytes of tickets, of the list and of starts, and the line "bytes of one reader", bytes between hosts plus platform bytes, with the budget of 3000 B/s. The existing line "bytes" keeps its budget.

Tests: a script with lists of 8 KB and 512 KB.

--- a/estimator/target.go
+++ b/estimator/target.go
@@ -28,8 +28,8 @@
 	run.fit("CPU", "% of a core per host", "tickets a day", run.byTicket, ticketsOf, func(sample Sample) float64 { return sample.CPUPercent })
 	calls := run.fit("platform calls", "1/s", "tickets a day", run.byTicket, ticketsOf, func(sample Sample) float64 { return sample.Load.PlatformCalls })
 	changes := run.fit("bytes of rumours", "B/s per host", "restarts a day", run.byChange, restartsOf, rumourBytes)
-	run.targetBytes(bytes, changes)
-	run.targetReader()
+	peers := run.targetBytes(bytes, changes)
+	run.targetReader(peers)
 	run.targetMemory(memory)
 	run.addAt("messages", messages, math.Log2(targetHosts), 0, "line over log2(hosts)")
 	run.targetCalls(calls)
@@ -84,7 +84,8 @@
 	run.add(Line{Quantity: quantity, Unit: fit.Unit, Figure: figure, Error: deviation, Budget: budget, Basis: basis})
 }
 
-func (run *measurement) targetBytes(bytes, changes Fit) {
+// targetBytes adds the lines of the traffic between hosts and returns their sum.
+func (run *measurement) targetBytes(bytes, changes Fit) Line {
 	base, baseError := bytes.At(math.Log2(targetHosts))
 	run.add(Line{Quantity: "bytes without restarts", Unit: bytes.Unit, Figure: base, Error: baseError, Basis: "line over log2(hosts) at 18,000 tickets a day"})
 	repeats := repeatsOf(targetHosts) / repeatsOf(run.options.Sizes[len(run.options.Sizes)-1])
@@ -94,7 +95,9 @@
 	starts, startsError := run.startBytes()
 	run.add(Line{Quantity: "bytes of starts", Unit: bytes.Unit, Figure: starts, Error: startsError, Basis: "membership and state that a start fetches, both ends"})
 	total := math.Sqrt(baseError*baseError + rumoursError*rumoursError + startsError*startsError)
-	run.add(Line{Quantity: "bytes", Unit: bytes.Unit, Figure: base + rumours + starts, Error: total, Budget: budgetBytes, Basis: "sum of the three"})
+	sum := Line{Quantity: "bytes", Unit: bytes.Unit, Figure: base + rumours + starts, Error: total, Budget: budgetBytes, Basis: "sum of the three"}
+	run.add(sum)
+	return sum
 }
 
 func repeatsOf(hosts int) float64 { return math.Ceil(math.Log2(float64(hosts+1))) + 2 }
--- a/relayer/reader.go
+++ b/relayer/reader.go
@@ -20,6 +20,14 @@
 	platformBackoff  = 500 * time.Millisecond
 	platformMost     = 4 * time.Second
 	maxParallelReads = 16
+	// listedBytesRate paces the watch of the list of hosts. At 6,900 hosts the
+	// list has 0.5 MB and changes 0.3 times a second. A host may read 3 KB/s, of
+	// which exchanges and tickets take about 2.6 KB/s. Hosts learn of each
+	// other's starts and ends by their own exchanges, so the list may be half an
+	// hour old.
+	listedBytesRate = 256 // bytes per second
+	// unpacedList is the size of a list, that of about 100 hosts, up to which each change is read at once.
+	unpacedList = 8 << 10
 )
 
 // watch is the state of one watched key.
@@ -63,6 +71,7 @@
 func (reader *reader) reset() {
 	reader.index.revision = 0
 	reader.hosts.revision = 0
+	reader.hosts.notUntil = 0
 }
 
 // rank returns the own place among the readers of the data centre, or -1.
@@ -160,9 +169,18 @@
 	return relayer.jittered(min(platformBackoff<<min(failures, 8), platformMost))
 }
 
+// ListPause returns how long a reader does not watch the list of hosts after a value of that size.
+func ListPause(bytes int) time.Duration {
+	if bytes <= unpacedList {
+		return 0
+	}
+	return time.Duration(bytes) * time.Second / listedBytesRate
+}
+
 func (relayer *Relayer) listed(value carobthread.Value) {
 	relayer.start.hostsKnown = true
 	relayer.reader.hosts.revision = value.Revision
+	relayer.reader.hosts.notUntil = relayer.now.Add(ListPause(len(value.Content)))
 	hosts, err := relayer.options.DecodeHosts(value.Content)
 	if err != nil {
 		relayer.act(Action{Finding: &Finding{Source: parser.HostsKey, Cause: err}})
