Say that the budget line of a reader takes the mean bytes between hosts

Cause: the basis "bytes between hosts" could be read as those of a reader, which has more of them.

Change: the basis says "mean". No figure changes.

--- a/estimator/reader.go
+++ b/estimator/reader.go
@@ -49,7 +49,7 @@
 	run.add(Line{Quantity: "platform bytes of one reader", Unit: "B/s", Figure: platform, Basis: "sum of the three; 18 hosts are readers"})
 	run.add(Line{
 		Quantity: "bytes of one reader", Unit: "B/s", Figure: peers.Figure + platform, Error: peers.Error,
-		Budget: budgetBytes, Basis: "bytes between hosts + platform bytes of one reader",
+		Budget: budgetBytes, Basis: "mean bytes between hosts + platform bytes of one reader",
 	})
 }
 
