Treat a data centre without replies as a last resort

Cause: in a partition all remote searchers fail at once, but ejection learns one searcher at a time and its cap keeps half of them in use. Traces of partial answers showed shards whose attempts were in the cut-off data centres, with the hedge bucket empty and the retry bucket full.

Change: bad outcomes are also counted by data centre; six in a row without any reply make it silent for 0.5 to 4 s, and its searchers a last resort. A late attempt in a data centre that is halfway there is paid from the retry budget, as one at a suspect searcher is.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -133,11 +133,12 @@
 	gatherer.send(query, shard, index, kind)
 }
 
-// suspect reports whether an attempt in flight is at a searcher whose last outcome was bad, such as one re-admitted after an ejection.
+// suspect reports whether an attempt in flight is at a searcher or data centre whose last outcomes were bad, such as a searcher re-admitted after an ejection.
 // A late reply from it is treated as a failure even while hedging is off.
 func (state *shardState) suspect() bool {
 	for _, attempt := range state.flights[:state.flying] {
-		if attempt.replica.searcher.ejection.Suspect() {
+		searcher := attempt.replica.searcher
+		if searcher.ejection.Suspect() || searcher.centre.suspect() {
 			return true
 		}
 	}
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -22,6 +22,8 @@
 	classAvoided
 	// classMayHold last stated only older snapshots than the one asked for and may have loaded it since.
 	classMayHold
+	// classSilent is in a data centre from which nothing has replied lately.
+	classSilent
 	// classEjected is the last resort when every other replica is gone.
 	classEjected
 	classTried
@@ -109,6 +111,8 @@
 		return classSaturated
 	case searcher.ejection.Ejected(gatherer.now):
 		return classEjected
+	case searcher.centre.silent(gatherer.now):
+		return classSilent
 	case query.current.bound && gatherer.heldKnown(searcher) && !slices.Contains(searcher.held, query.current.snapshot):
 		return classMayHold
 	case searcher.ejection.Avoided(gatherer.now):
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -54,6 +54,7 @@
 			row.limit.Restart()
 		}
 		row.config = searcher
+		row.centre = gatherer.centre(searcher.DataCentre)
 		row.known = true
 		row.local = gatherer.isLocal(row)
 		row.limit.Resize(searcher.Slots)
--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -137,6 +137,7 @@
 	gatherer.planEpoch++
 	for _, searcher := range gatherer.searcherList {
 		searcher.ejection.Forget()
+		searcher.centre.bad = 0
 	}
 	for _, service := range gatherer.serviceList {
 		service.latency.age()
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -30,6 +30,7 @@
 	serviceList  []*serviceRow
 	searchers    map[string]*searcherRow
 	searcherList []*searcherRow
+	centres      map[string]*centreRow
 	retired      []*layoutRow
 	connectAt    carobthread.Instant
 	// planEpoch changes whenever something that a plan depends on changes.
@@ -65,6 +66,7 @@
 		localHosts: 1,
 		services:   map[string]*serviceRow{},
 		searchers:  map[string]*searcherRow{},
+		centres:    map[string]*centreRow{},
 		queries:    map[carobthread.QueryID]*queryRow{},
 		attempts:   map[carobthread.AttemptID]*attemptRow{},
 		stats:      Stats{Refusals: map[carobthread.Reason]uint64{}},
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -135,6 +135,9 @@
 	if !gatherer.inForce() {
 		return
 	}
+	if reply.Status != carobthread.ReplyFailed {
+		searcher.centre.reply()
+	}
 	switch reply.Status {
 	case carobthread.ReplyOK:
 		searcher.limit.Succeed()
@@ -201,6 +204,9 @@
 // observeBad counts a failed or very slow attempt and ejects its searcher after several in a row.
 func (gatherer *Gatherer) observeBad(attempt *attemptRow) {
 	searcher := attempt.replica.searcher
+	if attempt.sentAt >= gatherer.resumedAt {
+		searcher.centre.miss(gatherer.now)
+	}
 	if attempt.sentAt < gatherer.resumedAt || gatherer.now < searcher.ejection.Until() || !searcher.ejection.Bad() {
 		return
 	}
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -103,6 +103,7 @@
 // searcherRow is what this host knows of one searcher; it outlives its configuration while attempts are in flight.
 type searcherRow struct {
 	config   carobthread.Searcher
+	centre   *centreRow
 	known    bool
 	local    bool
 	freed    bool
