Rule out a refused layout for a second

Cause: hosts that had not yet switched asked searchers for a dropped layout every 100 ms, each time at the cost of an extra attempt.

--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -13,8 +13,10 @@
 const (
 	// hedgeRest is how long hedging stays off after an upstream has shed load.
 	hedgeRest = time.Second
-	// lacksAge is how long a refused snapshot or layout rules a replica out; both may be loaded at any time.
+	// lacksAge is how long a refused snapshot rules a replica out; it may be loaded at any time.
 	lacksAge = 100 * time.Millisecond
+	// layoutLacksAge is how long a refused layout does; a dropped layout does not come back, and each try costs an extra attempt.
+	layoutLacksAge = time.Second
 )
 
 // reply takes the end of an attempt; it counts only for the attempt, query and shard that it names.
@@ -152,7 +154,7 @@
 		gatherer.learnLacks(searcher, attempt.query.current.snapshot)
 	case carobthread.ReplyLayoutMissing:
 		replica := &attempt.query.current.layout.shards[attempt.shard].replicas[attempt.index]
-		replica.lacksUntil = gatherer.now.Add(lacksAge)
+		replica.lacksUntil = gatherer.now.Add(layoutLacksAge)
 		gatherer.planEpoch++
 	}
 }
