Send a shard's second hedge after a third of the median

Cause: with 120 shards and 1 reply in 100 slow, query p99 is set by shards whose hedge is late too.

Change: the second hedge follows the first after a third of the median latency instead of half.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -71,7 +71,7 @@
 	if delay := service.latency.hedge; delay > 0 && gatherer.inForce() {
 		if state.flying > 1 {
 			// The shard is late already, and with 120 shards one hedge in twenty is late itself.
-			delay = min(delay, service.latency.median/2)
+			delay = min(delay, service.latency.median/3)
 		}
 		state.checkAt = gatherer.now.Add(delay)
 		gatherer.wake(query, state.checkAt)
