--- a/server/execution.go
+++ b/server/execution.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -18,12 +17,6 @@
 	"carobthread/rpc/carobthreadv1"
 )
 
-// Methods that hosts call on each other.
-const (
-	MethodExecute = "key.execute"
-	MethodOutcome = "key.outcome"
-)
-
 // lateGrace keeps a written request open past its deadline, so that a late result still settles an unknown outcome.
 const lateGrace = 2 * time.Second
 
@@ -208,34 +201,6 @@
 	}
 }
 
-// peerCall is the request of both peer methods; an outcome query has only the key and the deadline.
-type peerCall struct {
-	Key            string `json:"key"`
-	Service        string `json:"service,omitempty"`
-	Payload        []byte `json:"payload,omitempty"`
-	DeadlineMicros int64  `json:"deadline-us,omitempty"`
-}
-
-// Handle serves the keys that other hosts forward; the result is an executor.Outcome.
-func (execution *Execution) Handle(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
-	var call peerCall
-	if err := json.Unmarshal(params, &call); err != nil {
-		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonMalformedKey, Detail: err.Error()}
-	}
-	ctx, span := execution.options.Tracer.Start(ctx, method)
-	defer span.End()
-	switch method {
-	case MethodExecute:
-		return execution.execute(ctx, &executor.ExecuteCalled{
-			Key: call.Key, Service: call.Service, Payload: call.Payload, Deadline: deadlineOf(call.DeadlineMicros), Forwarded: true,
-		}), nil
-	case MethodOutcome:
-		return execution.outcome(ctx, &executor.OutcomeCalled{Key: call.Key, Deadline: deadlineOf(call.DeadlineMicros), Forwarded: true}), nil
-	default:
-		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonNotReady, Detail: "unknown method " + method}
-	}
-}
-
 func (execution *Execution) execute(ctx context.Context, called *executor.ExecuteCalled) executor.Outcome {
 	return execution.ask(ctx, called.Key, func(call executor.CallID) executor.Event {
 		called.Call = call
@@ -402,27 +367,3 @@
 	}
 	return refusal
 }
-
-// forwardLocked passes a call to the minting host; a failed call says nothing about the key.
-func (execution *Execution) forwardLocked(now carobthread.Instant, forward *executor.ForwardCall) {
-	method, call, deadline := MethodOutcome, peerCall{}, carobthread.Instant(0)
-	if execute := forward.Execute; execute != nil {
-		method, deadline = MethodExecute, execute.Deadline
-		call = peerCall{Key: execute.Key, Service: execute.Service, Payload: execute.Payload, DeadlineMicros: execute.Deadline.Micros()}
-	} else {
-		deadline = forward.Outcome.Deadline
-		call = peerCall{Key: forward.Outcome.Key, DeadlineMicros: deadline.Micros()}
-	}
-	span := executor.FallbackDeadline
-	if deadline != 0 {
-		span = deadline.Sub(now)
-	}
-	execution.workLocked(call.Key, span, func(ctx context.Context) executor.Event {
-		ctx, hop := execution.options.Tracer.Start(ctx, "forward", trace.WithAttributes(attribute.String("peer", forward.Host)))
-		defer hop.End()
-		ended := &executor.ForwardEnded{Call: forward.Call}
-		err := execution.options.Peers.Call(ctx, forward.Host, method, call, &ended.Outcome)
-		ended.Failed = err != nil || ended.Outcome.Key != call.Key
-		return executor.Event{Forward: ended}
-	})
-}
--- a/server/search.go
+++ b/server/search.go
@@ -1,10 +1,8 @@
 package server
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,9 +17,6 @@
 	"carobthread/rpc/carobthreadv1"
 )
 
-// defaultHits bounds the hits of an answer when the caller states no limit.
-const defaultHits = 20
-
 // SearchOptions are the parts that a Search works with.
 type SearchOptions struct {
 	Host    string
@@ -334,19 +329,6 @@
 	}
 }
 
-// observe passes a sign of draining on if it changes what is known of the searcher.
-func (search *Search) observe(searcher string, draining bool) {
-	if search.options.Drained == nil {
-		return
-	}
-	search.mutex.Lock()
-	changed, leaving := search.drains.observe(search.options.Timer.Now(), searcher, draining)
-	search.mutex.Unlock()
-	if changed {
-		search.options.Drained(searcher, leaving)
-	}
-}
-
 func replyStatus(status carobthreadv1.ShardStatus) carobthread.ReplyStatus {
 	switch status {
 	case carobthreadv1.ShardStatus_SHARD_STATUS_OK:
@@ -364,69 +346,6 @@
 	}
 }
 
-// merge orders the hits of all merged shards by falling score, then by id.
-func (search *Search) merge(request *carobthreadv1.SearchRequest, end outcome) *carobthreadv1.SearchResponse {
-	hits := []*carobthreadv1.Hit{}
-	for _, response := range end.merge {
-		hits = append(hits, response.GetHits()...)
-	}
-	slices.SortFunc(hits, func(left, right *carobthreadv1.Hit) int {
-		return cmp.Or(cmp.Compare(right.GetScore(), left.GetScore()), cmp.Compare(left.GetId(), right.GetId()))
-	})
-	limit := int(request.GetLimit())
-	if limit == 0 {
-		limit = defaultHits
-	}
-	coverage := &carobthreadv1.Coverage{Answered: end.answer.Coverage.Answered, Total: end.answer.Coverage.Total}
-	for _, missing := range end.answer.Coverage.Missing {
-		coverage.Missing = append(coverage.Missing, &carobthreadv1.MissingShard{Shard: missing.Shard, Reason: string(missing.Reason)})
-	}
-	return &carobthreadv1.SearchResponse{
-		Hits:          hits[:min(limit, len(hits))],
-		Coverage:      coverage,
-		Snapshot:      end.answer.Snapshot,
-		SnapshotAgeUs: end.answer.SnapshotAgeMicros,
-		Layout:        end.answer.Layout,
-		Attempts:      end.answer.Attempts,
-		Host:          search.options.Host,
-	}
-}
-
-// Poll asks every searcher of the configuration for its report and passes the reports to the core.
-func (search *Search) Poll(ctx context.Context) {
-	search.mutex.Lock()
-	searchers := make([]carobthread.Searcher, 0, len(search.searchers))
-	for _, searcher := range search.searchers {
-		searchers = append(searchers, searcher)
-	}
-	search.mutex.Unlock()
-	var polls sync.WaitGroup
-	for _, searcher := range searchers {
-		polls.Go(func() { search.poll(ctx, searcher) })
-	}
-	polls.Wait()
-}
-
-func (search *Search) poll(ctx context.Context, searcher carobthread.Searcher) {
-	report, err := search.options.Upstream.Report(ctx, searcher)
-	event := &carobthread.ReportArrived{Searcher: searcher.Name}
-	if err == nil {
-		event.Healthy = report.GetHealthy()
-		event.Draining = report.GetDraining()
-		event.Running = int(report.GetRunning())
-		event.Queued = int(report.GetQueued())
-		event.HeldSnapshots = report.GetHeldSnapshots()
-		event.SnapshotAgeMicros = report.GetSnapshotAgeUs()
-	}
-	search.step(carobthread.Event{Report: event})
-	if search.options.Reported != nil {
-		search.options.Reported(*event)
-	}
-	if err == nil {
-		search.observe(searcher.Name, report.GetDraining())
-	}
-}
-
 // Wait returns when no attempt runs any more or the context ends.
 func (search *Search) Wait(ctx context.Context) error {
 	done := make(chan struct{})
