--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -19,7 +19,7 @@
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
 		{name: "submit", short: "Publish a ticket to the platform.", runner: &submitCommand{}},
 		{name: "explore", short: "Explore schedules of requests that may not be repeated.", runner: &exploreCommand{}},
-		{name: "bench", short: "measure the query path on virtual time", runner: &benchCommand{}},
-		{name: "replay", short: "run recorded traces through the core and compare", runner: &replayCommand{}},
+		{name: "bench", short: "Measure the query path on virtual time.", runner: &benchCommand{}},
+		{name: "replay", short: "Run recorded traces through the core and compare.", runner: &replayCommand{}},
 	}
 }
