Take daemon test ports from below the outgoing range; name unclear things

Cause: one of 5 runs of TestRollingStopCutsNoRequest timed out with "entry-4 is not ready". The process log was not shown; a restarted daemon whose port had become the local port of an outgoing connection fits, since the ports came from that range. It is not proved.

Change: ports come from 20000 to 27999, and a daemon that has ended fails the wait at once with its log. The grace period uses the timer service; unclear names in the query core and its tests are replaced.

Conclusion: if it comes again, the log now tells the cause.

--- a/cmd/carobthreadd/daemon_test.go
+++ b/cmd/carobthreadd/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -98,13 +99,24 @@
 	})
 }
 
+// firstPort is below the range from which systems take ports of outgoing connections: a port of that range may be
+// in use by a connection when a daemon starts again.
+const (
+	firstPort = 20000
+	portCount = 8000
+)
+
 func freeAddresses(t *testing.T) (addresses [3]string) {
 	t.Helper()
-	for index := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		addresses[index] = listener.Addr().String()
+	for index := 0; index < len(addresses); {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		assert.NilError(t, listener.Close())
+		addresses[index] = address
+		index++
 	}
 	return addresses
 }
@@ -125,6 +137,11 @@
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, entry := range started.processes {
+			select {
+			case <-entry.ended:
+				return poll.Error(fmt.Errorf("%s has ended: %s", entry.name, entry.log))
+			default:
+			}
 			if !entry.poll() {
 				return poll.Continue("%s is not ready", entry.name)
 			}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -68,15 +68,15 @@
 		gatherer.refuse(arrived, carobthread.ReasonDeadlineTooShort, 0)
 		return false
 	}
-	if service.waiting > 0 && gatherer.hopeless(service, plan, left) || !service.admission.Admit() {
+	if service.waiting > 0 && gatherer.unanswerable(service, plan, left) || !service.admission.Admit() {
 		gatherer.refuse(arrived, carobthread.ReasonOverload, service.admission.RetryAfter())
 		return false
 	}
 	return true
 }
 
-// hopeless reports whether a shard that serves has a queue too long for the time left, or so many shards have one that the floor cannot be met.
-func (gatherer *Gatherer) hopeless(service *serviceRow, plan *target, left time.Duration) bool {
+// unanswerable reports whether a shard that serves has a queue too long for the time left, or so many shards have one that the floor cannot be met.
+func (gatherer *Gatherer) unanswerable(service *serviceRow, plan *target, left time.Duration) bool {
 	inTime := 0
 	for i := range plan.layout.shards {
 		row := &plan.layout.shards[i]
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"carobthread"
 )
 
 // errAborted ends a graceful stop early.
@@ -28,7 +30,7 @@
 	host.logger.Info().Dur("grace", host.settings.Stop.Grace).Msg("stopping, not ready")
 	host.control.Leave()
 	host.execution.Drain()
-	pause(ctx, host.settings.Stop.Grace)
+	pause(ctx, host.timer, host.settings.Stop.Grace)
 	host.execution.Stop()
 	err := host.listeners.callerServer.Shutdown(ctx)
 	err = errors.Join(err, host.search.Wait(ctx), host.execution.Wait(ctx))
@@ -40,11 +42,21 @@
 	return err
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	wait := time.NewTimer(span)
-	defer wait.Stop()
+// pause waits for the span or the end of the context.
+func pause(ctx context.Context, timer carobthread.Timer, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	passed := make(chan struct{}, 1)
+	cancel := timer.Subscribe(span, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
+		select {
+		case passed <- struct{}{}:
+		default:
+		}
+	}))
+	defer cancel()
 	select {
-	case <-wait.C:
+	case <-passed:
 	case <-ctx.Done():
 	}
 }
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -26,16 +26,16 @@
 
 const testShards = 8
 
-// crossingUpstream swaps replies between concurrent attempts and doubles some of them.
-type crossingUpstream struct {
-	mutex  sync.Mutex
-	random *rand.Rand
-	parked *carobthreadv1.SearchShardResponse
+// misroutingUpstream returns the reply of another attempt for one attempt in four.
+type misroutingUpstream struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	previous *carobthreadv1.SearchShardResponse
 }
 
-var _ carobthread.Upstream = (*crossingUpstream)(nil)
+var _ carobthread.Upstream = (*misroutingUpstream)(nil)
 
-func (upstream *crossingUpstream) SearchShard(_ context.Context, _ carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
+func (upstream *misroutingUpstream) SearchShard(_ context.Context, _ carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
 	own := &carobthreadv1.SearchShardResponse{
 		Attempt: request.GetAttempt(), Shard: request.GetShard(), Snapshot: 7, Layout: request.GetLayout(),
 		Status:        carobthreadv1.ShardStatus_SHARD_STATUS_OK,
@@ -44,15 +44,15 @@
 	}
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
-	crossed := upstream.parked
-	upstream.parked = own
-	if crossed != nil && upstream.random.IntN(4) == 0 {
-		return crossed, nil
+	misrouted := upstream.previous
+	upstream.previous = own
+	if misrouted != nil && upstream.random.IntN(4) == 0 {
+		return misrouted, nil
 	}
 	return own, nil
 }
 
-func (*crossingUpstream) Report(context.Context, carobthread.Searcher) (*carobthreadv1.ReportResponse, error) {
+func (*misroutingUpstream) Report(context.Context, carobthread.Searcher) (*carobthreadv1.ReportResponse, error) {
 	return &carobthreadv1.ReportResponse{Healthy: true, HeldSnapshots: []uint64{7}}, nil
 }
 
@@ -86,9 +86,9 @@
 	return search
 }
 
-// Guards against a crossed or doubled reply that reaches another caller's answer.
-func TestCrossedRepliesNeverReachAnotherQuery(t *testing.T) {
-	search := startSearch(t, &crossingUpstream{random: rand.New(rand.NewPCG(1, 2))})
+// Guards against a misrouted or duplicate reply that reaches another caller's answer.
+func TestMisroutedRepliesNeverReachAnotherQuery(t *testing.T) {
+	search := startSearch(t, &misroutingUpstream{random: rand.New(rand.NewPCG(1, 2))})
 	var callers sync.WaitGroup
 	for caller := range 50 {
 		callers.Go(func() {
@@ -108,7 +108,7 @@
 
 // Guards against bad input that is answered late, unclearly or as if it had run.
 func TestBadInputIsRefusedAsNotRun(t *testing.T) {
-	search := startSearch(t, &crossingUpstream{random: rand.New(rand.NewPCG(1, 2))})
+	search := startSearch(t, &misroutingUpstream{random: rand.New(rand.NewPCG(1, 2))})
 	mux := http.NewServeMux()
 	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(server.NewCallers(search, nil)))
 	front := httptest.NewServer(mux)
