State the hold of a draining sign once

Cause: the query core, the executor and the server each had a constant of 5 s for how long a sign of draining stands against reports.

Change: carobthread.DrainHold serves all three; no value changes.

Before: three constants.

Conclusion: behaviour is the same.

--- a/config.go
+++ b/config.go
@@ -95,6 +95,9 @@
 	return nil, false
 }
 
+// DrainHold is how long a searcher's sign of draining stands against reports that deny it, since reports lag.
+const DrainHold = 5 * time.Second
+
 // ObjectID names a configuration object, such as "service/matching" or "layout/matching/3".
 type ObjectID string
 
--- a/executor/forward.go
+++ b/executor/forward.go
@@ -87,7 +87,7 @@
 	case searcher == nil:
 	case report.Draining:
 		searcher.drain(executor.now)
-	case executor.now.Sub(searcher.drainSeen) >= drainHold:
+	case executor.now.Sub(searcher.drainSeen) >= carobthread.DrainHold:
 		searcher.draining = false
 	}
 }
--- a/executor/table.go
+++ b/executor/table.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
-	"time"
 
 	"carobthread"
 )
@@ -57,9 +56,6 @@
 	drainSeen carobthread.Instant
 }
 
-// drainHold is how long a sign of draining stands against reports that deny it, since reports lag.
-const drainHold = 5 * time.Second
-
 func (searcher *searcherRow) drain(now carobthread.Instant) {
 	searcher.draining = true
 	searcher.drainSeen = now
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -17,8 +17,6 @@
 	// minBurst and burstQueries bound the extra attempts in one burst; a move of a query costs its whole fan-out.
 	minBurst     = 100
 	burstQueries = 10
-	// drainAge is how long after the last sign a searcher that reports otherwise still counts as draining, since reports lag.
-	drainAge = 5 * time.Second
 	// connectEvery is the time between two steps of the connection share.
 	connectEvery = time.Second
 )
@@ -290,7 +288,7 @@
 		}
 	}
 	gatherer.learnDraining(searcher, report.Draining)
-	if searcher.draining && !report.Draining && gatherer.now.Sub(searcher.drainedAt) >= drainAge {
+	if searcher.draining && !report.Draining && gatherer.now.Sub(searcher.drainedAt) >= carobthread.DrainHold {
 		searcher.draining = false
 		searcher.limit.Restart()
 		gatherer.planEpoch++
@@ -305,7 +303,7 @@
 	gatherer.connect()
 	gatherer.searcherList = slices.DeleteFunc(gatherer.searcherList, func(searcher *searcherRow) bool {
 		// A draining sign outlives a short absence from the configuration.
-		draining := searcher.draining && gatherer.now.Sub(searcher.drainedAt) < drainAge
+		draining := searcher.draining && gatherer.now.Sub(searcher.drainedAt) < carobthread.DrainHold
 		if searcher.known || draining || searcher.limit.Running() > 0 {
 			return false
 		}
--- a/server/drain.go
+++ b/server/drain.go
@@ -1,14 +1,9 @@
 package server
 
 import (
-	"time"
-
 	"carobthread"
 )
 
-// backAfter is how long a searcher must report that it takes work before it counts as back; its reports lag.
-const backAfter = 5 * time.Second
-
 // drainWatch joins what replies and reports say of searchers that drain; it is not safe for concurrent use.
 type drainWatch struct {
 	since map[string]carobthread.Instant // the last sign of draining
@@ -23,7 +18,7 @@
 		watch.since[searcher] = now
 		return !known, true
 	}
-	if known && now.Sub(last) >= backAfter {
+	if known && now.Sub(last) >= carobthread.DrainHold {
 		delete(watch.since, searcher)
 		return true, false
 	}
