--- a/caller/caller.go
+++ b/caller/caller.go
@@ -64,7 +64,10 @@
 	client carobthreadv1connect.SearcherServiceClient
 }
 
-var _ carobthread.Upstream = (*Caller)(nil)
+var (
+	_ carobthread.Upstream = (*Caller)(nil)
+	_ carobthread.Reporter = (*Caller)(nil)
+)
 
 // New returns a caller without connections; zero options take the defaults.
 func New(options Options) *Caller {
@@ -109,19 +112,27 @@
 }
 
 // SearchShard sends one attempt; cancelling its context cancels it at the searcher.
-func (caller *Caller) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
-	lane := caller.lane(request.GetService(), searcher.Address)
-	return repeatable(ctx, lane, request.GetService(), func(ctx context.Context) (*connect.Response[carobthreadv1.SearchShardResponse], error) {
-		return lane.client.SearchShard(ctx, traced(ctx, request))
+func (caller *Caller) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
+	lane := caller.lane(request.Service, searcher.Address)
+	response, err := repeatable(ctx, lane, request.Service, func(ctx context.Context) (*connect.Response[carobthreadv1.SearchShardResponse], error) {
+		return lane.client.SearchShard(ctx, traced(ctx, encodeShardRequest(ctx, request)))
 	})
+	if err != nil {
+		return nil, err
+	}
+	return decodeShardReply(response), nil
 }
 
 // Report asks a searcher for its health, load and held snapshots over a connection of its own.
-func (caller *Caller) Report(ctx context.Context, searcher carobthread.Searcher) (*carobthreadv1.ReportResponse, error) {
+func (caller *Caller) Report(ctx context.Context, searcher carobthread.Searcher) (*carobthread.ReportArrived, error) {
 	lane := caller.lane("", searcher.Address)
-	return repeatable(ctx, lane, "", func(ctx context.Context) (*connect.Response[carobthreadv1.ReportResponse], error) {
+	report, err := repeatable(ctx, lane, "", func(ctx context.Context) (*connect.Response[carobthreadv1.ReportResponse], error) {
 		return lane.client.Report(ctx, traced(ctx, &carobthreadv1.ReportRequest{}))
 	})
+	if err != nil {
+		return nil, err
+	}
+	return decodeReport(searcher.Name, report), nil
 }
 
 func repeatable[Reply any](ctx context.Context, lane *lane, service string, call func(ctx context.Context) (*connect.Response[Reply], error)) (*Reply, error) {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -232,7 +232,7 @@
 		assert.NilError(t, err)
 		client := caller.New(caller.Options{HTTP2: http2, Connections: 2, MaxReplySize: 200})
 		searcher := carobthread.Searcher{Address: upstream.Address()}
-		request := &carobthreadv1.SearchShardRequest{Service: "find", Layout: 1, Attempt: 5}
+		request := &carobthread.ShardRequest{Request: &carobthread.Request{}, Service: "find", Layout: 1, Attempt: 5}
 		ctx, cancel := context.WithCancel(t.Context())
 		var attempts sync.WaitGroup
 		for range 4 {
@@ -246,7 +246,7 @@
 		upstream.Slow(0)
 		response, err := client.SearchShard(t.Context(), searcher, request)
 		assert.NilError(t, err)
-		assert.Equal(t, response.GetAttempt(), uint64(5))
+		assert.Equal(t, response.Attempt, carobthread.AttemptID(5))
 		small := caller.New(caller.Options{HTTP2: http2, MaxReplySize: 50})
 		_, err = small.SearchShard(t.Context(), searcher, request)
 		var failure *carobthread.RequestError
--- a/config.go
+++ b/config.go
@@ -38,6 +38,14 @@
 	MaxRequestSize int           `json:"max-request-size"`
 	MaxReplySize   int           `json:"max-reply-size"`
 	Layout         uint32        `json:"layout"`
+	// MaxAttempts bounds the searchers that a query is sent to for each shard; 0 takes the bound of the core.
+	MaxAttempts int `json:"max-attempts,omitempty"`
+	// Rank orders the services whose attempts wait for the same slots; 0 goes first.
+	Rank int `json:"rank,omitempty"`
+	// Once is set if a request may run at most once: an attempt that may have run is not followed by another.
+	Once bool `json:"once,omitempty"`
+	// FloorRequired makes an answer below the coverage floor a failure, given as soon as the floor is out of reach.
+	FloorRequired bool `json:"floor-required,omitempty"`
 }
 
 // Layout is one generation of a service's partition: the searchers that serve each shard.
@@ -45,6 +53,8 @@
 	Service    string     `json:"service"`
 	Generation uint32     `json:"generation"`
 	Shards     [][]string `json:"shards"`
+	// Groups names the replica group of each shard, if the groups have a common retry budget; services may share a group.
+	Groups []string `json:"groups,omitempty"`
 }
 
 // Searcher is the configuration of one upstream process.
@@ -62,6 +72,16 @@
 	Services  []Service  `json:"services"`
 	Layouts   []Layout   `json:"layouts"`
 	Searchers []Searcher `json:"searchers"`
+	// RetryBudget bounds the extra attempts at each replica group; the zero value leaves only the budget of each service.
+	RetryBudget RetryBudget `json:"retry-budget,omitzero"`
+}
+
+// RetryBudget bounds the attempts beyond the first at one replica group, over all entry hosts, within a sliding window.
+type RetryBudget struct {
+	// Ratio is the number of extra attempts for each query, and Slack the number permitted beside.
+	Ratio  float64       `json:"ratio"`
+	Slack  int           `json:"slack"`
+	Window time.Duration `json:"window"`
 }
 
 // Service returns the service of that name.
--- a/estimator/node.go
+++ b/estimator/node.go
@@ -155,7 +155,7 @@
 		end(relayer.Event{Failure: &relayer.PeerFailed{Call: asked.Call, Reason: reason}})
 	}
 	fleet.after(asked.Deadline.Sub(fleet.now), func() { fail(carobthread.ReasonTimeout) })
-	frame, err := messenger.EncodeRequest(uint64(asked.Call), asked.Method, asked.Deadline, asked.Params)
+	frame, err := messenger.EncodeRequest(uint64(asked.Call), asked.Method, asked.Deadline.Sub(fleet.now), asked.Params)
 	if err != nil {
 		fleet.violate("encode %s: %v", asked.Method, err)
 		return
--- a/estimator/pair.go
+++ b/estimator/pair.go
@@ -122,7 +122,7 @@
 // request serves a request on one host with its encoding and decoding, and returns the result.
 func (run *pair) request(to int, method string, params any) json.RawMessage {
 	before := run.clock.Now()
-	frame, err := messenger.EncodeRequest(1, method, run.now, params)
+	frame, err := messenger.EncodeRequest(1, method, time.Second, params)
 	if err != nil {
 		run.failure = err
 		return nil
--- a/event.go
+++ b/event.go
@@ -17,8 +17,21 @@
 	ReplyShed            ReplyStatus = "shed"
 	ReplyDraining        ReplyStatus = "draining"
 	ReplyFailed          ReplyStatus = "failed"
+	// ReplyNotSent says that no byte of the attempt was written, because no connection could be had.
+	ReplyNotSent ReplyStatus = "not-sent"
+	// ReplyMisdirected says that another process has the searcher's address, which did not run the attempt.
+	ReplyMisdirected ReplyStatus = "misdirected"
 )
 
+// NotRun reports whether the status proves that the attempt did not and will not run.
+func (status ReplyStatus) NotRun() bool {
+	switch status {
+	case ReplySnapshotMissing, ReplyLayoutMissing, ReplyShed, ReplyDraining, ReplyNotSent, ReplyMisdirected:
+		return true
+	}
+	return false
+}
+
 // Event is one input of the query path's core; exactly one of the pointers is set.
 type Event struct {
 	At     Instant        `json:"at"`
@@ -51,6 +64,8 @@
 	HeldSnapshots []uint64    `json:"held-snapshots,omitempty"`
 	// SnapshotAgeMicros is the age of the snapshot at the searcher in microseconds.
 	SnapshotAgeMicros int64 `json:"snapshot-age-us,omitempty"`
+	// Searcher names the sender of a reply to an attempt that was cancelled, which still shows that it answers.
+	Searcher string `json:"searcher,omitempty"`
 }
 
 // CallerGone says that nobody waits for the query any more.
@@ -147,6 +162,12 @@
 	SnapshotAgeMicros int64       `json:"snapshot-age-us"`
 	Merge             []AttemptID `json:"merge"`
 	Attempts          uint32      `json:"attempts"`
+	// Failed says that the coverage is below the service's required floor.
+	Failed bool `json:"failed,omitempty"`
+	// NotRun says of a failed answer that no attempt has run or can run.
+	NotRun bool `json:"not-run,omitempty"`
+	// RetryAfterMicros is when a failed query is likely to be answered.
+	RetryAfterMicros int64 `json:"retry-after-us,omitempty"`
 }
 
 // RefuseQuery asks the process to refuse a query as not run.
@@ -168,3 +189,10 @@
 	// Step takes one event and returns the actions it calls for, in order.
 	Step(event Event) []Action
 }
+
+// Scheduled is a Decider that states when it needs the next tick.
+type Scheduled interface {
+	Decider
+	// NextDue returns when time alone calls for the next step.
+	NextDue() Instant
+}
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if kind != carobthread.AttemptFirst && gatherer.inForce() {
-		query.service.budget.Refund(1)
+		gatherer.refund(query, shard)
 	}
 	gatherer.closeShard(query, shard, reasonOf(found))
 }
@@ -77,6 +77,7 @@
 		gatherer.wake(query, state.checkAt)
 	}
 	query.sent++
+	query.unproven++
 	gatherer.stats.countSend(kind)
 	if kind == carobthread.AttemptFirst {
 		service.budget.Deposit()
@@ -108,7 +109,8 @@
 	state := &query.current.shards[shard]
 	service := query.service
 	state.checkAt = 0
-	if state.flying >= maxFlights || state.sent >= maxAttempts {
+	gatherer.noteStalls(state)
+	if state.flying >= maxFlights || state.sent >= service.maxAttempts() || service.config.Once {
 		return
 	}
 	if gatherer.now.Add(service.latency.fast) >= query.deadline {
@@ -117,17 +119,17 @@
 	kind := carobthread.AttemptHedge
 	if state.suspect() {
 		kind = carobthread.AttemptRetry
-	} else if gatherer.now < service.hedgeFrom {
-		state.checkAt = service.hedgeFrom
+	} else if from := gatherer.hedgeFrom(query, shard); gatherer.now < from {
+		state.checkAt = from
 		return
 	}
 	index, found := gatherer.choose(query, shard)
 	if found > classSaturated {
 		return
 	}
-	if index < 0 || !service.pay(kind) {
+	if index < 0 || !gatherer.pay(query, shard, kind) {
 		gatherer.stats.BudgetRefused++
-		state.checkAt = gatherer.now.Add(pollInterval)
+		state.checkAt = gatherer.now.Add(gatherer.payAgain(query, shard))
 		return
 	}
 	gatherer.send(query, shard, index, kind)
@@ -145,14 +147,6 @@
 	return false
 }
 
-// pay takes an extra attempt of that kind from the budget.
-func (service *serviceRow) pay(kind carobthread.AttemptKind) bool {
-	if kind == carobthread.AttemptHedge {
-		return service.budget.TakeHedge()
-	}
-	return service.budget.TakeRetry(1)
-}
-
 // recover finds the next attempt for a shard that has none in flight, or moves the query, or closes the shard.
 func (gatherer *Gatherer) recover(query *queryRow, shard uint32) {
 	state := &query.current.shards[shard]
@@ -160,16 +154,16 @@
 		gatherer.recoverBaseline(query, shard)
 		return
 	}
-	if gatherer.now >= query.deadline || state.sent >= maxAttempts {
+	if gatherer.now >= query.deadline || state.sent >= query.service.maxAttempts() || query.service.config.Once && query.unproven > 0 {
 		gatherer.closeShard(query, shard, carobthread.ReasonTimeout)
 		return
 	}
 	index, found := gatherer.choose(query, shard)
 	switch {
 	case index >= 0 || found == classSaturated:
-		if !query.service.budget.TakeRetry(1) {
+		if !gatherer.pay(query, shard, carobthread.AttemptRetry) {
 			gatherer.stats.BudgetRefused++
-			gatherer.checkLater(query, state, pollInterval)
+			gatherer.checkLater(query, state, gatherer.payAgain(query, shard))
 			return
 		}
 		gatherer.dispatch(query, shard, carobthread.AttemptRetry)
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -115,7 +115,7 @@
 		return classSilent
 	case query.current.bound && gatherer.heldKnown(searcher) && !slices.Contains(searcher.held, query.current.snapshot):
 		return classMayHold
-	case searcher.ejection.Avoided(gatherer.now):
+	case searcher.ejection.Avoided(gatherer.now), gatherer.now < searcher.stalledUntil:
 		return classAvoided
 	case searcher.local && searcher.limit.Running() < gatherer.fairShare(searcher):
 		return classLocal
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -24,8 +24,10 @@
 // configure replaces the configuration; queries in progress keep the layouts that they refer to.
 func (gatherer *Gatherer) configure(config *carobthread.Config) {
 	gatherer.planEpoch++
+	gatherer.retryBudget = config.RetryBudget
 	gatherer.configureSearchers(config.Searchers)
 	gatherer.configureServices(config)
+	gatherer.configureGroups()
 	gatherer.linkShards()
 	gatherer.capEjections()
 	gatherer.configured = true
@@ -126,6 +128,9 @@
 func (gatherer *Gatherer) resolve(service *serviceRow, previous map[string]*replicaRow, layout *carobthread.Layout) *layoutRow {
 	row := &layoutRow{generation: layout.Generation, shards: make([]shardRow, len(layout.Shards))}
 	for shard, names := range layout.Shards {
+		if shard < len(layout.Groups) && gatherer.retryBudget.Window > 0 {
+			row.shards[shard].group = gatherer.group(layout.Groups[shard])
+		}
 		for _, name := range names {
 			searcher := gatherer.searchers[name]
 			if searcher == nil || !searcher.known {
@@ -148,7 +153,7 @@
 // equal reports whether both layouts have the same generation and replicas.
 func (layout *layoutRow) equal(other *layoutRow) bool {
 	return layout.generation == other.generation && slices.EqualFunc(layout.shards, other.shards, func(one, two shardRow) bool {
-		return slices.EqualFunc(one.replicas, two.replicas, func(one, two shardReplica) bool { return one.row == two.row })
+		return one.group == two.group && slices.EqualFunc(one.replicas, two.replicas, func(one, two shardReplica) bool { return one.row == two.row })
 	})
 }
 
@@ -241,6 +246,8 @@
 		}
 	}
 	gatherer.liveHosts = max(1, live)
+	gatherer.budgetHosts = max(gatherer.budgetHosts, gatherer.liveHosts)
+	gatherer.configureGroups()
 	gatherer.localHosts = 0
 	for _, host := range view.Hosts {
 		if host.State != carobthread.HostLeaving && host.DataCentre == gatherer.dataCentre {
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -25,12 +25,17 @@
 	dataCentre string
 	liveHosts  int
 	localHosts int
+	// budgetHosts is the number of hosts that the retry budgets are divided by: the most that were known lately.
+	budgetHosts int
+	retryBudget carobthread.RetryBudget
+	startedAt   carobthread.Instant
 
 	services     map[string]*serviceRow
 	serviceList  []*serviceRow
 	searchers    map[string]*searcherRow
 	searcherList []*searcherRow
 	centres      map[string]*centreRow
+	groups       map[string]*groupRow
 	retired      []*layoutRow
 	connectAt    carobthread.Instant
 	// planEpoch changes whenever something that a plan depends on changes.
@@ -55,21 +60,23 @@
 	stats        Stats
 }
 
-var _ carobthread.Decider = (*Gatherer)(nil)
+var _ carobthread.Scheduled = (*Gatherer)(nil)
 
 // New returns a gatherer without configuration; the seed fixes its random choices.
 func New(seed uint64, options Options) *Gatherer {
 	return &Gatherer{
-		options:    options,
-		random:     rand.New(rand.NewPCG(seed, 0)),
-		liveHosts:  1,
-		localHosts: 1,
-		services:   map[string]*serviceRow{},
-		searchers:  map[string]*searcherRow{},
-		centres:    map[string]*centreRow{},
-		queries:    map[carobthread.QueryID]*queryRow{},
-		attempts:   map[carobthread.AttemptID]*attemptRow{},
-		stats:      Stats{Refusals: map[carobthread.Reason]uint64{}},
+		options:     options,
+		random:      rand.New(rand.NewPCG(seed, 0)),
+		liveHosts:   1,
+		localHosts:  1,
+		budgetHosts: 1,
+		groups:      map[string]*groupRow{},
+		services:    map[string]*serviceRow{},
+		searchers:   map[string]*searcherRow{},
+		centres:     map[string]*centreRow{},
+		queries:     map[carobthread.QueryID]*queryRow{},
+		attempts:    map[carobthread.AttemptID]*attemptRow{},
+		stats:       Stats{Refusals: map[carobthread.Reason]uint64{}},
 	}
 }
 
@@ -79,6 +86,9 @@
 func (gatherer *Gatherer) Step(event carobthread.Event) []carobthread.Action {
 	gatherer.actions = nil
 	gatherer.now = max(gatherer.now, event.At)
+	if gatherer.startedAt == 0 {
+		gatherer.startedAt = gatherer.now
+	}
 	switch {
 	case event.Query != nil:
 		gatherer.runTimers()
@@ -102,6 +112,18 @@
 	return gatherer.actions
 }
 
+// NextDue returns when time alone calls for the next step.
+func (gatherer *Gatherer) NextDue() carobthread.Instant {
+	due := max(gatherer.connectAt, gatherer.now.Add(pollInterval))
+	if len(gatherer.timers) > 0 {
+		due = min(due, gatherer.timers[0].due)
+	}
+	if len(gatherer.waitingRows) > 0 {
+		due = min(due, gatherer.now.Add(waitingPollInterval))
+	}
+	return due
+}
+
 // inForce reports whether the policy in force decides, rather than a baseline.
 func (gatherer *Gatherer) inForce() bool {
 	return !gatherer.options.RandomReplica && !gatherer.options.FirstPolicy
--- /dev/null
+++ b/gatherer/group.go
@@ -0,0 +1,105 @@
+package gatherer
+
+// Services may share the searchers of a shard. What bounds the load on these searchers, the retry
+// budget and the rest from hedging after a refusal, is then kept for the group of replicas and
+// not for the service, since a fault of one group must not spend the budget of another.
+
+import (
+	"time"
+
+	"carobthread"
+	"carobthread/limiter"
+)
+
+// groupPollInterval is the time between two tries to pay for an attempt from a group's budget, which is filled by later queries.
+const groupPollInterval = 10 * time.Millisecond
+
+// groupRow is one replica group with its retry budget.
+type groupRow struct {
+	name   string
+	window limiter.Window
+	// hedgeFrom is when hedging may start again after a searcher of the group shed load.
+	hedgeFrom carobthread.Instant
+	known     bool
+}
+
+// group returns the row of a group and makes it if it is new; nil for a shard without a group.
+func (gatherer *Gatherer) group(name string) *groupRow {
+	if name == "" {
+		return nil
+	}
+	row := gatherer.groups[name]
+	if row == nil {
+		row = &groupRow{name: name, window: limiter.NewWindow(gatherer.startedAt)}
+		if gatherer.configured {
+			row.window = limiter.NewWindow(gatherer.now)
+		}
+		gatherer.groups[name] = row
+	}
+	row.known = true
+	return row
+}
+
+// configureGroups divides the budget of each group by the number of live hosts.
+func (gatherer *Gatherer) configureGroups() {
+	budget := &gatherer.retryBudget
+	slack := float64(budget.Slack) / float64(gatherer.budgetHosts)
+	for _, row := range gatherer.groups {
+		row.window.Configure(budget.Ratio, slack, budget.Window)
+	}
+}
+
+// countRequest counts a query for the group of each of its shards.
+func (gatherer *Gatherer) countRequest(layout *layoutRow) {
+	for shard := range layout.shards {
+		if group := layout.shards[shard].group; group != nil {
+			group.window.Request(gatherer.now)
+		}
+	}
+}
+
+// pay takes an extra attempt of that kind from the budget of the shard's group or else of the service.
+func (gatherer *Gatherer) pay(query *queryRow, shard uint32, kind carobthread.AttemptKind) bool {
+	if group := query.current.layout.shards[shard].group; group != nil {
+		return group.window.Take(gatherer.now)
+	}
+	if kind == carobthread.AttemptHedge {
+		return query.service.budget.TakeHedge()
+	}
+	return query.service.budget.TakeRetry(1)
+}
+
+// refund returns the payment for an attempt that was not sent.
+func (gatherer *Gatherer) refund(query *queryRow, shard uint32) {
+	if group := query.current.layout.shards[shard].group; group != nil {
+		group.window.Refund()
+		return
+	}
+	query.service.budget.Refund(1)
+}
+
+// payAgain returns when to try again to pay for an attempt.
+func (gatherer *Gatherer) payAgain(query *queryRow, shard uint32) time.Duration {
+	if query.current.layout.shards[shard].group != nil {
+		return groupPollInterval
+	}
+	return pollInterval
+}
+
+// hedgeFrom returns when hedging may start again at a shard.
+func (gatherer *Gatherer) hedgeFrom(query *queryRow, shard uint32) carobthread.Instant {
+	if group := query.current.layout.shards[shard].group; group != nil {
+		return group.hedgeFrom
+	}
+	return query.service.hedgeFrom
+}
+
+// restHedges keeps hedging off for a while after a searcher of the shard has shed load.
+func (gatherer *Gatherer) restHedges(attempt *attemptRow) {
+	until := gatherer.now.Add(hedgeRest)
+	if group := attempt.query.current.layout.shards[attempt.shard].group; group != nil {
+		group.hedgeFrom = until
+		return
+	}
+	attempt.replica.service.hedgeFrom = until
+}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -16,6 +16,9 @@
 // At twice the capacity and a deadline of four medians, a factor of 2 makes up to 32 of 17,000 admitted queries miss a shard, and 4 at most 2.
 const waitMargin = 4
 
+// noReplicaRetry is when a query may come again whose shards have no searcher: about one interval of the list of searchers.
+const noReplicaRetry = 500 * time.Millisecond
+
 // servingAge is how long a shard counts as serving after the last reply of one of its replicas; it spans many replies of a busy shard.
 const servingAge = 100 * time.Millisecond
 
@@ -43,12 +46,27 @@
 		gatherer.refuse(arrived, carobthread.ReasonNotReady, 0)
 		return
 	}
+	gatherer.countRequest(plan.layout)
 	if gatherer.inForce() && !gatherer.admit(service, plan, arrived, deadline) {
 		return
 	}
 	gatherer.start(service, plan, arrived.Query, deadline)
 }
 
+// reachable returns how many shards of the layout have a searcher that may be sent to.
+func (layout *layoutRow) reachable() int {
+	count := 0
+	for shard := range layout.shards {
+		for i := range layout.shards[shard].replicas {
+			if layout.shards[shard].replicas[i].row.searcher.usable() {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
 func checkArrived(service *serviceRow, arrived *carobthread.QueryArrived) carobthread.Reason {
 	switch {
 	case service == nil || !service.known:
@@ -64,6 +82,10 @@
 // admit refuses a query that cannot reach its coverage floor by its deadline, or that exceeds the service's limit.
 func (gatherer *Gatherer) admit(service *serviceRow, plan *target, arrived *carobthread.QueryArrived, deadline carobthread.Instant) bool {
 	left := deadline.Sub(gatherer.now)
+	if service.config.FloorRequired && !service.floorMet(&candidate{shards: make([]shardState, len(plan.layout.shards)), answered: plan.layout.reachable()}) {
+		gatherer.refuse(arrived, carobthread.ReasonNoReplica, noReplicaRetry)
+		return false
+	}
 	if left < service.latency.fast {
 		gatherer.refuse(arrived, carobthread.ReasonDeadlineTooShort, 0)
 		return false
@@ -180,7 +202,7 @@
 
 // finishIfDone answers the query if nothing is left to wait for.
 func (gatherer *Gatherer) finishIfDone(query *queryRow) bool {
-	if query.open == 0 || query.earlier != nil && query.earlier.complete() {
+	if query.open == 0 || query.service.floorLost(query) || query.earlier != nil && query.earlier.complete() {
 		gatherer.answer(query)
 		return true
 	}
@@ -211,6 +233,11 @@
 			Reason: state.missingReason(),
 		})
 	}
+	if query.service.config.FloorRequired && !query.service.floorMet(chosen) {
+		answer.Failed = true
+		answer.NotRun = query.unproven == 0
+		answer.RetryAfterMicros = query.service.admission.RetryAfter().Microseconds()
+	}
 	gatherer.stats.Answers++
 	if chosen.complete() {
 		gatherer.stats.CompleteAnswers++
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -13,6 +13,8 @@
 const (
 	// hedgeRest is how long hedging stays off after an upstream has shed load.
 	hedgeRest = time.Second
+	// stallHold is how long a searcher that answers nothing is avoided before the next attempt tries it.
+	stallHold = 100 * time.Millisecond
 	// lacksAge is how long a refused snapshot rules a replica out; it may be loaded at any time.
 	lacksAge = 100 * time.Millisecond
 	// layoutLacksAge is how long a refused layout does; a dropped layout does not come back, and each try costs an extra attempt.
@@ -23,6 +25,9 @@
 func (gatherer *Gatherer) reply(reply *carobthread.ReplyArrived) {
 	attempt := gatherer.attempts[reply.Attempt]
 	if attempt == nil {
+		if searcher := gatherer.searchers[reply.Searcher]; searcher != nil && reply.Status == carobthread.ReplyOK {
+			searcher.replied(gatherer.now)
+		}
 		gatherer.countUnknown(reply.Attempt)
 		return
 	}
@@ -40,6 +45,12 @@
 	state.removeFlight(attempt)
 	gatherer.answered.add(attempt.id)
 	gatherer.learn(attempt, reply)
+	if reply.Status.NotRun() {
+		query.unproven--
+	}
+	if reply.Status == carobthread.ReplyNotSent && state.sent > 0 {
+		state.sent-- // no searcher was reached
+	}
 	shard, index, unbound := attempt.shard, attempt.index, attempt.unbound
 	gatherer.release(attempt)
 	gatherer.settle(query, shard, reply)
@@ -127,7 +138,7 @@
 // learn updates what is known of the searcher from the end of an attempt.
 func (gatherer *Gatherer) learn(attempt *attemptRow, reply *carobthread.ReplyArrived) {
 	searcher := attempt.replica.searcher
-	gatherer.learnDraining(searcher, reply.Draining || reply.Status == carobthread.ReplyDraining)
+	gatherer.learnDraining(searcher, reply.Draining || reply.Status == carobthread.ReplyDraining || reply.Status == carobthread.ReplyMisdirected)
 	if len(reply.HeldSnapshots) > 0 {
 		searcher.statedAt = gatherer.now
 		if searcher.hold(gatherer.now, reply.HeldSnapshots) {
@@ -137,8 +148,9 @@
 	if !gatherer.inForce() {
 		return
 	}
-	if reply.Status != carobthread.ReplyFailed {
+	if reply.Status != carobthread.ReplyFailed && reply.Status != carobthread.ReplyNotSent {
 		searcher.centre.reply()
+		searcher.replied(gatherer.now)
 	}
 	switch reply.Status {
 	case carobthread.ReplyOK:
@@ -147,8 +159,8 @@
 	case carobthread.ReplyShed:
 		gatherer.stats.Sheds++
 		searcher.limit.Shed(gatherer.now, attempt.sentAt)
-		attempt.replica.service.hedgeFrom = gatherer.now.Add(hedgeRest)
-	case carobthread.ReplyFailed:
+		gatherer.restHedges(attempt)
+	case carobthread.ReplyFailed, carobthread.ReplyNotSent:
 		gatherer.observeBad(attempt)
 	case carobthread.ReplySnapshotMissing:
 		gatherer.learnLacks(searcher, attempt.query.current.snapshot)
@@ -159,6 +171,23 @@
 	}
 }
 
+// replied notes an answer of the searcher, which ends a stall.
+func (searcher *searcherRow) replied(now carobthread.Instant) {
+	searcher.repliedAt = now
+	searcher.stalledUntil = 0
+}
+
+// noteStalls marks the searchers of late attempts that have answered nothing since those were sent, such as
+// one that collects garbage: other queries avoid it meanwhile instead of each finding out by itself.
+func (gatherer *Gatherer) noteStalls(state *shardState) {
+	for _, attempt := range state.flights[:state.flying] {
+		searcher := attempt.replica.searcher
+		if searcher.repliedAt < attempt.sentAt {
+			searcher.stalledUntil = gatherer.now.Add(stallHold)
+		}
+	}
+}
+
 // learnLacks notes a snapshot that the searcher refused, whatever it stated before.
 func (gatherer *Gatherer) learnLacks(searcher *searcherRow, snapshot uint64) {
 	searcher.lacks = snapshot
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -85,6 +85,8 @@
 	waiting int
 	moves   int
 	sent    uint32
+	// unproven counts the attempts sent without a proof that they have not run.
+	unproven int
 }
 
 // attemptRow is one attempt in flight.
@@ -117,6 +119,10 @@
 	draining  bool
 	drainedAt carobthread.Instant
 
+	// repliedAt is the last reply; stalledUntil is set while late attempts show that the searcher answers nothing.
+	repliedAt    carobthread.Instant
+	stalledUntil carobthread.Instant
+
 	held []uint64
 	// heldAt is when the held snapshots were last stated, statedAt when a reply stated them.
 	heldAt   carobthread.Instant
@@ -154,6 +160,7 @@
 
 // shardRow is one shard of one layout with the attempts that wait for a slot.
 type shardRow struct {
+	group    *groupRow
 	replicas []shardReplica
 	waiting  []waiter
 	listed   bool
@@ -200,6 +207,27 @@
 	return float64(candidate.answered) >= service.config.CoverageFloor*float64(len(candidate.shards))-rounding
 }
 
+// maxAttempts returns how many searchers a query may be sent to for each shard.
+func (service *serviceRow) maxAttempts() uint8 {
+	if bound := service.config.MaxAttempts; bound > 0 {
+		return uint8(min(bound, maxAttempts))
+	}
+	return maxAttempts
+}
+
+// floorLost reports whether a required floor can no longer be met.
+func (service *serviceRow) floorLost(query *queryRow) bool {
+	if !service.config.FloorRequired {
+		return false
+	}
+	best := query.best()
+	reachable := candidate{shards: best.shards, answered: best.answered}
+	if best == &query.current {
+		reachable.answered += query.open
+	}
+	return !service.floorMet(&reachable)
+}
+
 // latencyFirst reports whether the service answers at the soft deadline.
 func (service *serviceRow) latencyFirst() bool {
 	return service.config.Preference == carobthread.LatencyFirst && service.config.SoftDeadline > 0
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -5,10 +5,14 @@
 
 import (
 	"slices"
+	"time"
 
 	"carobthread"
 )
 
+// waitingPollInterval is how soon a queue is looked at again without a reply, since limits rise and ejections end by time.
+const waitingPollInterval = 5 * time.Millisecond
+
 // waiter is an attempt that waits for a free slot of one of its shard's replicas.
 type waiter struct {
 	query *queryRow
@@ -60,7 +64,7 @@
 	entry.query.waiting--
 	entry.query.service.waiting--
 	if entry.kind != carobthread.AttemptFirst {
-		entry.query.service.budget.Refund(1)
+		gatherer.refund(entry.query, entry.shard)
 	}
 }
 
@@ -110,7 +114,7 @@
 	switch {
 	case gatherer.answerIfDue(query):
 		return
-	case index < 0, entry.kind != carobthread.AttemptFirst && !query.service.budget.TakeRetry(1):
+	case index < 0, entry.kind != carobthread.AttemptFirst && !gatherer.pay(query, entry.shard, entry.kind):
 		gatherer.recover(query, entry.shard)
 	default:
 		gatherer.send(query, entry.shard, index, entry.kind)
--- /dev/null
+++ b/limiter/window.go
@@ -0,0 +1,105 @@
+package limiter
+
+import (
+	"time"
+
+	"carobthread"
+)
+
+// windowSlots divides a window, so that what leaves it is forgotten in steps of a twentieth.
+const windowSlots = 20
+
+// ratioMargin is the part of the ratio that is used, since the requests of a sliding window differ from those counted here.
+const ratioMargin = 0.9
+
+// Window bounds the extra attempts within any sliding span by a ratio of the requests in that span and a slack.
+//
+// The slack counts only after one whole span, since an earlier run of this
+// process may have used it just before it ended.
+type Window struct {
+	ratio   float64
+	slack   float64
+	span    time.Duration
+	started carobthread.Instant
+	// current is the number of the latest slot since the epoch.
+	current  int64
+	requests [windowSlots + 1]int
+	extras   [windowSlots + 1]int
+}
+
+// NewWindow returns an empty window that begins at the given time.
+func NewWindow(now carobthread.Instant) Window { return Window{started: now} }
+
+// Configure sets the bounds; what has been counted stays.
+func (window *Window) Configure(ratio, slack float64, span time.Duration) {
+	window.ratio = ratio * ratioMargin
+	window.slack = slack
+	window.span = span
+}
+
+// Request counts one request for the group.
+func (window *Window) Request(now carobthread.Instant) {
+	window.roll(now)
+	window.requests[0]++
+}
+
+// Take counts one extra attempt if the bound permits it.
+func (window *Window) Take(now carobthread.Instant) bool {
+	window.roll(now)
+	if window.left(now) < 1 {
+		return false
+	}
+	window.extras[0]++
+	return true
+}
+
+// Refund takes back an extra attempt that was not sent.
+func (window *Window) Refund() {
+	for slot := range window.extras {
+		if window.extras[slot] > 0 {
+			window.extras[slot]--
+			return
+		}
+	}
+}
+
+// Left returns how many extra attempts the bound permits now.
+func (window *Window) Left(now carobthread.Instant) int {
+	window.roll(now)
+	return max(0, int(window.left(now)))
+}
+
+func (window *Window) left(now carobthread.Instant) float64 {
+	requests, extras := 0, 0
+	for slot := range window.extras {
+		extras += window.extras[slot]
+		if slot < windowSlots {
+			requests += window.requests[slot]
+		}
+	}
+	permitted := window.ratio * float64(requests)
+	if now.Sub(window.started) >= window.span {
+		permitted += window.slack
+	}
+	return permitted - float64(extras)
+}
+
+// roll moves the slots so that slot 0 holds the given time.
+func (window *Window) roll(now carobthread.Instant) {
+	length := int64(max(window.span, windowSlots) / windowSlots)
+	slot := int64(now) / length
+	steps := slot - window.current
+	if steps <= 0 {
+		return
+	}
+	window.current = slot
+	if steps > windowSlots {
+		window.requests = [windowSlots + 1]int{}
+		window.extras = [windowSlots + 1]int{}
+		return
+	}
+	copy(window.requests[steps:], window.requests[:])
+	copy(window.extras[steps:], window.extras[:])
+	clear(window.requests[:steps])
+	clear(window.extras[:steps])
+}
--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -112,7 +113,7 @@
 	if err := json.Unmarshal(*request.Params, &wrapped); err != nil {
 		return nil, refuse(carobthread.ReasonUpstreamFailed, err.Error())
 	}
-	left := carobthread.FromMicros(wrapped.DeadlineMicros).Sub(acceptor.messenger.options.Timer.Now())
+	left := time.Duration(wrapped.LeftMicros) * time.Microsecond
 	if left <= 0 {
 		return nil, refuse(carobthread.ReasonDeadlinePassed, "the deadline passed before the request arrived")
 	}
--- a/messenger/envelope.go
+++ b/messenger/envelope.go
@@ -16,10 +16,10 @@
 
 // envelope is the params member of every request but the hello.
 type envelope struct {
-	// DeadlineMicros is absolute, in microseconds since the Unix epoch.
-	DeadlineMicros int64           `json:"deadline-us"`
-	TraceParent    string          `json:"trace-parent,omitempty"`
-	Body           json.RawMessage `json:"body,omitempty"`
+	// LeftMicros is the time until the deadline in microseconds, since the clocks of two hosts may differ by minutes.
+	LeftMicros  int64           `json:"left-us"`
+	TraceParent string          `json:"trace-parent,omitempty"`
+	Body        json.RawMessage `json:"body,omitempty"`
 }
 
 // failureData is the data member of an error response.
@@ -31,14 +31,14 @@
 	RetryAfterMicros int64                `json:"retry-after-us,omitempty"`
 }
 
-// EncodeRequest returns the frame of a request as a link writes it.
-func EncodeRequest(id uint64, method string, deadline carobthread.Instant, params any) ([]byte, error) {
+// EncodeRequest returns the frame of a request with that time left as a link writes it.
+func EncodeRequest(id uint64, method string, left time.Duration, params any) ([]byte, error) {
 	body, err := json.Marshal(params)
 	if err != nil {
 		return nil, err
 	}
 	request := &jsonrpc2.Request{Method: method, ID: jsonrpc2.ID{Num: id}}
-	if err := request.SetParams(envelope{DeadlineMicros: deadline.Micros(), Body: body}); err != nil {
+	if err := request.SetParams(envelope{LeftMicros: left.Microseconds(), Body: body}); err != nil {
 		return nil, err
 	}
 	return encodeFrame(request)
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -68,7 +68,7 @@
 		return nil, refuse(carobthread.ReasonDeadlinePassed, ctx.Err().Error())
 	}
 	deadline, _ := ctx.Deadline()
-	return &envelope{DeadlineMicros: deadline.UnixMicro(), TraceParent: tracer.Inject(ctx), Body: body}, nil
+	return &envelope{LeftMicros: time.Until(deadline).Microseconds(), TraceParent: tracer.Inject(ctx), Body: body}, nil
 }
 
 func (link *link) outcome(err error, begun bool) error {
@@ -225,7 +225,7 @@
 }
 
 func connect(ctx context.Context, messenger *Messenger, stream net.Conn, codec *codec, handler jsonrpc2.Handler) *jsonrpc2.Conn {
-	bounded := &boundedConn{Conn: stream, timer: messenger.options.Timer}
+	bounded := &boundedConn{Conn: stream}
 	return jsonrpc2.NewConn(
 		ctx, jsonrpc2.NewBufferedStream(bounded, codec), handler,
 		jsonrpc2.OnSend(codec.onSend), jsonrpc2.OnRecv(codec.onReceive), jsonrpc2.SetLogger(&messenger.options.Logger),
@@ -235,11 +235,10 @@
 // boundedConn fails a write to a peer that has stopped reading, which would block all other writes of the link.
 type boundedConn struct {
 	net.Conn
-	timer carobthread.Timer
 }
 
 func (conn *boundedConn) Write(content []byte) (int, error) {
-	if err := conn.SetWriteDeadline(conn.timer.Now().Add(writeTimeout).Time()); err != nil {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	return conn.Conn.Write(content)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -117,7 +117,7 @@
 	if send(content, size) == "" {
 		return "closed\n"
 	}
-	ping := `{"method":"ping","params":{"deadline-us":9000000000000000},"id":2,"jsonrpc":"2.0"}`
+	ping := `{"method":"ping","params":{"left-us":9000000000},"id":2,"jsonrpc":"2.0"}`
 	if !strings.Contains(send(ping, len(ping)), `"result":"pong"`) {
 		return "accepted, then no answer\n"
 	}
@@ -191,7 +191,7 @@
 		assert.NilError(t, ctx.Err())
 	}
 	deadline, _ := ctx.Deadline()
-	request, err := messenger.EncodeRequest(1, "echo", carobthread.At(deadline), "x")
+	request, err := messenger.EncodeRequest(1, "echo", time.Until(deadline), "x")
 	assert.NilError(t, err)
 	reply, err := messenger.EncodeReply(1, 7)
 	assert.NilError(t, err)
--- a/server/execution_test.go
+++ b/server/execution_test.go
@@ -60,6 +60,10 @@
 
 func (*entryHost) Subscribe(time.Duration, carobthread.Subscriber) func() { return func() {} }
 
+func (host *entryHost) Alarm(subscriber carobthread.Subscriber) carobthread.Alarm {
+	return timer.NewManual(host.Now()).Alarm(subscriber)
+}
+
 // Call is the link to other hosts; it breaks when either end is killed.
 func (host *entryHost) Call(ctx context.Context, name, method string, params, result any) error {
 	var index int
--- a/server/poll.go
+++ b/server/poll.go
@@ -15,30 +15,28 @@
 		searchers = append(searchers, searcher)
 	}
 	search.mutex.Unlock()
+	reporter, able := search.options.Upstream.(carobthread.Reporter)
+	if !able {
+		return
+	}
 	var polls sync.WaitGroup
 	for _, searcher := range searchers {
-		polls.Go(func() { search.poll(ctx, searcher) })
+		polls.Go(func() { search.poll(ctx, reporter, searcher) })
 	}
 	polls.Wait()
 }
 
-func (search *Search) poll(ctx context.Context, searcher carobthread.Searcher) {
-	report, err := search.options.Upstream.Report(ctx, searcher)
-	event := &carobthread.ReportArrived{Searcher: searcher.Name}
-	if err == nil {
-		event.Healthy = report.GetHealthy()
-		event.Draining = report.GetDraining()
-		event.Running = int(report.GetRunning())
-		event.Queued = int(report.GetQueued())
-		event.HeldSnapshots = report.GetHeldSnapshots()
-		event.SnapshotAgeMicros = report.GetSnapshotAgeUs()
+func (search *Search) poll(ctx context.Context, reporter carobthread.Reporter, searcher carobthread.Searcher) {
+	event, err := reporter.Report(ctx, searcher)
+	if err != nil {
+		event = &carobthread.ReportArrived{Searcher: searcher.Name} // a searcher that cannot be asked counts as ill
 	}
 	search.step(carobthread.Event{Report: event})
 	if search.options.Reported != nil {
 		search.options.Reported(*event)
 	}
 	if err == nil {
-		search.observe(searcher.Name, report.GetDraining())
+		search.observe(searcher.Name, event.Draining)
 	}
 }
 
--- a/server/search.go
+++ b/server/search.go
@@ -29,6 +29,8 @@
 	Meter    *Meter
 	// Drained is called, outside of locks, when a searcher is seen to drain or to be back; nil ignores it.
 	Drained func(searcher string, leaving bool)
+	// Linger is how long an attempt that has lost to another may go on, which keeps its connection; 0 cancels it at once.
+	Linger time.Duration
 	// Reported is called with each report of a searcher; nil ignores it.
 	Reported func(report carobthread.ReportArrived)
 }
@@ -44,22 +46,38 @@
 	pending   map[carobthread.QueryID]*pendingQuery
 	drains    *drainWatch
 	running   sync.WaitGroup
+
+	scheduled carobthread.Scheduled
+	alarm     carobthread.Alarm
 }
 
 // pendingQuery is a query whose caller waits; the server's mutex guards its maps.
 type pendingQuery struct {
 	ctx     context.Context
-	request *carobthreadv1.SearchRequest
+	request *carobthread.Request
+	once    bool
 	cancels map[carobthread.AttemptID]context.CancelFunc
-	replies map[carobthread.AttemptID]*carobthreadv1.SearchShardResponse
-	done    chan outcome
+	replies map[carobthread.AttemptID]*carobthread.ShardReply
+	// rejected is the last whole answer of a searcher that does not count as a reply.
+	rejected *carobthread.ShardReply
+	done     chan Outcome
+}
+
+// Outcome ends a query: exactly one of Answer and Refusal is set.
+type Outcome struct {
+	Answer *carobthread.AnswerQuery
+	// Replies are the replies that the answer merges, in the order of its attempts.
+	Replies []*carobthread.ShardReply
+	// Rejected is a searcher's own answer that counts as a failure, or nil.
+	Rejected *carobthread.ShardReply
+	Refusal  *carobthread.RefuseQuery
 }
 
-// outcome ends a query: exactly one of answer and refusal is set.
-type outcome struct {
-	answer  *carobthread.AnswerQuery
-	merge   []*carobthreadv1.SearchShardResponse
-	refusal *carobthread.RefuseQuery
+// Query is one request with what the core needs to know of it; a zero Deadline takes the service's hard deadline.
+type Query struct {
+	Request  *carobthread.Request
+	Deadline carobthread.Instant
+	Once     bool
 }
 
 // NewSearch returns a Search that refuses queries as not ready until Configure is called.
@@ -84,6 +102,16 @@
 	search.ready.Store(true)
 }
 
+// Schedule makes the core tick itself when it needs to; without it, the process must tick it all the time.
+func (search *Search) Schedule(core carobthread.Scheduled) (cancel func()) {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	search.scheduled = core
+	search.alarm = search.options.Timer.Alarm(search)
+	search.stepLocked(carobthread.Event{Tick: &carobthread.Ticked{}})
+	return search.alarm.Stop
+}
+
 // SetView passes a new view of the entry hosts to the core.
 func (search *Search) SetView(view carobthread.View) {
 	search.step(carobthread.Event{View: &carobthread.ViewChanged{View: view}})
@@ -103,47 +131,52 @@
 	if !search.ready.Load() {
 		return nil, connectError(&carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonNotReady, Service: message.GetService()})
 	}
-	id := carobthread.QueryID(search.nextQuery.Add(1))
-	end, err := search.wait(ctx, id, message)
+	query := Query{Request: &carobthread.Request{Service: message.GetService(), Body: message.GetQuery(), Limit: message.GetLimit()}}
+	if message.GetDeadlineUs() != 0 {
+		query.Deadline = carobthread.FromMicros(message.GetDeadlineUs())
+	}
+	end, err := search.Ask(ctx, query)
 	if err != nil {
+		err = connect.NewError(connect.CodeCanceled, err)
 		span.SetStatus(codes.Error, err.Error())
 		return nil, err
 	}
 	latency := search.options.Timer.Now().Sub(started)
-	if end.refusal != nil {
-		search.options.Meter.Refusal(message.GetService(), end.refusal.Reason)
+	if end.Refusal != nil {
+		search.options.Meter.Refusal(message.GetService(), end.Refusal.Reason)
 		failure := &carobthread.RequestError{
 			State:      carobthread.NotRun,
-			Reason:     end.refusal.Reason,
+			Reason:     end.Refusal.Reason,
 			Service:    message.GetService(),
-			RetryAfter: time.Duration(end.refusal.RetryAfterMicros) * time.Microsecond,
+			RetryAfter: time.Duration(end.Refusal.RetryAfterMicros) * time.Microsecond,
 		}
 		span.SetStatus(codes.Error, failure.Error())
 		return nil, connectError(failure)
 	}
 	response := search.merge(message, end)
 	response.LatencyUs = latency.Microseconds()
-	search.options.Meter.Answer(message.GetService(), end.answer, latency)
+	search.options.Meter.Answer(message.GetService(), end.Answer, latency)
 	span.SetAttributes(
-		attribute.Int("shards-answered", int(end.answer.Coverage.Answered)),
-		attribute.Int("shards-total", int(end.answer.Coverage.Total)),
-		attribute.Int64("snapshot", int64(end.answer.Snapshot)),
+		attribute.Int("shards-answered", int(end.Answer.Coverage.Answered)),
+		attribute.Int("shards-total", int(end.Answer.Coverage.Total)),
+		attribute.Int64("snapshot", int64(end.Answer.Snapshot)),
 	)
 	return connect.NewResponse(response), nil
 }
 
-// wait steps the core with the query and waits for its end or for the caller to leave.
-func (search *Search) wait(ctx context.Context, id carobthread.QueryID, message *carobthreadv1.SearchRequest) (outcome, error) {
+// Ask steps the core with one request and waits for its end; the only error is that of a context that ends first.
+func (search *Search) Ask(ctx context.Context, asked Query) (Outcome, error) {
+	id := carobthread.QueryID(search.nextQuery.Add(1))
 	query := &pendingQuery{
 		ctx:     ctx,
-		request: message,
+		request: asked.Request,
+		once:    asked.Once,
 		cancels: map[carobthread.AttemptID]context.CancelFunc{},
-		replies: map[carobthread.AttemptID]*carobthreadv1.SearchShardResponse{},
-		done:    make(chan outcome, 1),
+		replies: map[carobthread.AttemptID]*carobthread.ShardReply{},
+		done:    make(chan Outcome, 1),
 	}
-	arrived := &carobthread.QueryArrived{Query: id, Service: message.GetService(), Size: len(message.GetQuery())}
-	if message.GetDeadlineUs() != 0 {
-		arrived.Deadline = carobthread.FromMicros(message.GetDeadlineUs())
+	arrived := &carobthread.QueryArrived{
+		Query: id, Service: asked.Request.Service, Deadline: asked.Deadline, Size: len(asked.Request.Body),
 	}
 	search.mutex.Lock()
 	search.pending[id] = query
@@ -154,7 +187,7 @@
 		return end, nil
 	case <-ctx.Done():
 		search.abandon(id)
-		return outcome{}, connect.NewError(connect.CodeCanceled, ctx.Err())
+		return Outcome{}, ctx.Err()
 	}
 }
 
@@ -166,7 +199,10 @@
 		return
 	}
 	search.stepLocked(carobthread.Event{Gone: &carobthread.CallerGone{Query: id}})
-	search.release(id, query)
+	delete(search.pending, id)
+	for _, cancel := range query.cancels {
+		cancel()
+	}
 }
 
 func (search *Search) step(event carobthread.Event) {
@@ -181,6 +217,9 @@
 	for _, action := range search.options.Decider.Step(event) {
 		search.perform(action)
 	}
+	if search.alarm != nil {
+		search.alarm.Set(search.scheduled.NextDue())
+	}
 }
 
 func (search *Search) perform(action carobthread.Action) {
@@ -190,27 +229,25 @@
 	case action.Cancel != nil:
 		search.cancel(action.Cancel)
 	case action.Answer != nil:
-		search.finish(action.Answer.Query, func(query *pendingQuery) outcome {
-			return outcome{answer: action.Answer, merge: query.merged(action.Answer.Merge)}
+		search.finish(action.Answer.Query, func(query *pendingQuery) Outcome {
+			return Outcome{Answer: action.Answer, Replies: query.merged(action.Answer.Merge), Rejected: query.rejected}
 		})
 	case action.Refuse != nil:
-		search.finish(action.Refuse.Query, func(*pendingQuery) outcome {
-			return outcome{refusal: action.Refuse}
-		})
+		search.finish(action.Refuse.Query, func(*pendingQuery) Outcome { return Outcome{Refusal: action.Refuse} })
 	case action.Connect != nil:
 		search.connect(action.Connect)
 	}
 }
 
-func (query *pendingQuery) merged(attempts []carobthread.AttemptID) []*carobthreadv1.SearchShardResponse {
-	responses := make([]*carobthreadv1.SearchShardResponse, 0, len(attempts))
+func (query *pendingQuery) merged(attempts []carobthread.AttemptID) []*carobthread.ShardReply {
+	responses := make([]*carobthread.ShardReply, 0, len(attempts))
 	for _, attempt := range attempts {
 		responses = append(responses, query.replies[attempt])
 	}
 	return responses
 }
 
-func (search *Search) finish(id carobthread.QueryID, end func(query *pendingQuery) outcome) {
+func (search *Search) finish(id carobthread.QueryID, end func(query *pendingQuery) Outcome) {
 	query := search.pending[id]
 	if query == nil {
 		return
@@ -219,12 +256,22 @@
 	search.release(id, query)
 }
 
-// release forgets a query and cancels the attempts that nobody waits for.
+// release forgets a query and gives up the attempts that nobody waits for.
 func (search *Search) release(id carobthread.QueryID, query *pendingQuery) {
 	delete(search.pending, id)
 	for _, cancel := range query.cancels {
+		search.giveUp(cancel)
+	}
+}
+
+// giveUp ends an attempt that nobody waits for, at once or after the time to linger.
+func (search *Search) giveUp(cancel context.CancelFunc) {
+	if search.options.Linger == 0 {
 		cancel()
+		return
 	}
+	alarm := search.options.Timer.Alarm(carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) { cancel() }))
+	alarm.Set(search.options.Timer.Now().Add(search.options.Linger))
 }
 
 func (search *Search) cancel(action *carobthread.CancelAttempt) {
@@ -233,7 +280,7 @@
 		return
 	}
 	if cancel := query.cancels[action.Attempt]; cancel != nil {
-		cancel()
+		search.giveUp(cancel)
 		delete(query.cancels, action.Attempt)
 	}
 }
@@ -266,83 +313,91 @@
 		}()
 		return
 	}
-	ctx, cancel := context.WithDeadline(query.ctx, action.Deadline.Time())
+	ctx, cancel := context.WithTimeout(query.ctx, action.Deadline.Sub(search.options.Timer.Now()))
 	query.cancels[action.Attempt] = cancel
 	search.running.Add(1)
 	go func() {
 		defer search.running.Done()
 		defer cancel()
-		search.attempt(ctx, query.request, searcher, action)
+		search.attempt(ctx, query, searcher, action)
 	}()
 }
 
-func (search *Search) attempt(ctx context.Context, query *carobthreadv1.SearchRequest, searcher carobthread.Searcher, action *carobthread.SendAttempt) {
+func (search *Search) attempt(ctx context.Context, query *pendingQuery, searcher carobthread.Searcher, action *carobthread.SendAttempt) {
 	ctx, span := search.options.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("searcher", searcher.Name),
 		attribute.Int("shard", int(action.Shard)),
 		attribute.String("kind", string(action.Kind)),
 	))
 	defer span.End()
-	response, err := search.options.Upstream.SearchShard(ctx, searcher, &carobthreadv1.SearchShardRequest{
-		Attempt:    uint64(action.Attempt),
-		Service:    action.Service,
-		Shard:      action.Shard,
-		Snapshot:   action.Snapshot,
-		Layout:     action.Layout,
-		Query:      query.GetQuery(),
-		Limit:      query.GetLimit(),
-		DeadlineUs: action.Deadline.Micros(),
+	reply, err := search.options.Upstream.SearchShard(ctx, searcher, &carobthread.ShardRequest{
+		Request:  query.request,
+		Attempt:  action.Attempt,
+		Service:  action.Service,
+		Shard:    action.Shard,
+		Snapshot: action.Snapshot,
+		Layout:   action.Layout,
+		Once:     query.once,
 	})
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 	}
-	search.reply(action, response, err)
+	search.reply(action, reply, err)
 }
 
 // reply passes the end of an attempt to the core; a reply that names another attempt counts as failed.
-func (search *Search) reply(action *carobthread.SendAttempt, response *carobthreadv1.SearchShardResponse, err error) {
+func (search *Search) reply(action *carobthread.SendAttempt, reply *carobthread.ShardReply, err error) {
 	event := &carobthread.ReplyArrived{
-		Query:   action.Query,
-		Attempt: action.Attempt,
-		Shard:   action.Shard,
-		Status:  carobthread.ReplyFailed,
-	}
-	if err == nil && response.GetAttempt() == uint64(action.Attempt) && response.GetShard() == action.Shard {
-		event.Snapshot = response.GetSnapshot()
-		event.Layout = response.GetLayout()
-		event.Status = replyStatus(response.GetStatus())
-		event.Draining = response.GetDraining()
-		event.HeldSnapshots = response.GetHeldSnapshots()
-		event.SnapshotAgeMicros = response.GetSnapshotAgeUs()
+		Query:    action.Query,
+		Attempt:  action.Attempt,
+		Shard:    action.Shard,
+		Searcher: action.Searcher,
+		Status:   failedStatus(err),
+	}
+	own := err == nil && reply.Attempt == action.Attempt && reply.Shard == action.Shard
+	if own {
+		event.Snapshot = reply.Snapshot
+		event.Layout = reply.Layout
+		event.Status = reply.Status
+		event.Draining = reply.Draining
+		event.HeldSnapshots = reply.HeldSnapshots
+		event.SnapshotAgeMicros = reply.SnapshotAgeMicros
 	}
 	search.mutex.Lock()
+	if query := search.pending[action.Query]; query != nil && own {
+		query.keep(action.Attempt, reply)
+	}
+	if own && reply.Load != nil {
+		search.stepLocked(carobthread.Event{Report: &carobthread.ReportArrived{
+			Searcher: action.Searcher, Healthy: true, Running: reply.Load.Running, Queued: reply.Load.Queued,
+		}})
+	}
+	search.stepLocked(carobthread.Event{Reply: event})
 	if query := search.pending[action.Query]; query != nil {
 		delete(query.cancels, action.Attempt)
-		if event.Status == carobthread.ReplyOK {
-			query.replies[action.Attempt] = response
-		}
 	}
-	search.stepLocked(carobthread.Event{Reply: event})
 	search.mutex.Unlock()
 	if event.Draining || event.Status == carobthread.ReplyDraining {
 		search.observe(action.Searcher, true)
 	}
 }
 
-func replyStatus(status carobthreadv1.ShardStatus) carobthread.ReplyStatus {
-	switch status {
-	case carobthreadv1.ShardStatus_SHARD_STATUS_OK:
-		return carobthread.ReplyOK
-	case carobthreadv1.ShardStatus_SHARD_STATUS_SNAPSHOT_MISSING:
-		return carobthread.ReplySnapshotMissing
-	case carobthreadv1.ShardStatus_SHARD_STATUS_LAYOUT_MISSING:
-		return carobthread.ReplyLayoutMissing
-	case carobthreadv1.ShardStatus_SHARD_STATUS_SHED:
-		return carobthread.ReplyShed
-	case carobthreadv1.ShardStatus_SHARD_STATUS_DRAINING:
-		return carobthread.ReplyDraining
-	default:
-		return carobthread.ReplyFailed
+// failedStatus returns the status of an attempt that ended without a reply.
+func failedStatus(err error) carobthread.ReplyStatus {
+	var failure *carobthread.RequestError
+	if errors.As(err, &failure) && failure.State == carobthread.NotRun {
+		return carobthread.ReplyNotSent
+	}
+	return carobthread.ReplyFailed
+}
+
+// keep holds what an answer may need of a reply.
+func (query *pendingQuery) keep(attempt carobthread.AttemptID, reply *carobthread.ShardReply) {
+	switch {
+	case reply.Status == carobthread.ReplyOK:
+		query.replies[attempt] = reply
+	case reply.Status == carobthread.ReplyFailed && reply.HTTP != nil:
+		query.rejected = reply
 	}
 }
 
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -30,16 +30,16 @@
 type misroutingUpstream struct {
 	mutex    sync.Mutex
 	random   *rand.Rand
-	previous *carobthreadv1.SearchShardResponse
+	previous *carobthread.ShardReply
 }
 
 var _ carobthread.Upstream = (*misroutingUpstream)(nil)
 
-func (upstream *misroutingUpstream) SearchShard(_ context.Context, _ carobthread.Searcher, request *carobthreadv1.SearchShardRequest) (*carobthreadv1.SearchShardResponse, error) {
-	own := &carobthreadv1.SearchShardResponse{
-		Attempt: request.GetAttempt(), Shard: request.GetShard(), Snapshot: 7, Layout: request.GetLayout(),
-		Status:        carobthreadv1.ShardStatus_SHARD_STATUS_OK,
-		Hits:          []*carobthreadv1.Hit{{Id: fmt.Sprintf("%s/%d", request.GetQuery(), request.GetShard()), Score: 1}},
+func (upstream *misroutingUpstream) SearchShard(_ context.Context, _ carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
+	own := &carobthread.ShardReply{
+		Attempt: request.Attempt, Shard: request.Shard, Snapshot: 7, Layout: request.Layout,
+		Status:        carobthread.ReplyOK,
+		Hits:          []carobthread.Hit{{ID: fmt.Sprintf("%s/%d", request.Request.Body, request.Shard), Score: 1}},
 		HeldSnapshots: []uint64{7},
 	}
 	upstream.mutex.Lock()
@@ -52,8 +52,8 @@
 	return own, nil
 }
 
-func (*misroutingUpstream) Report(context.Context, carobthread.Searcher) (*carobthreadv1.ReportResponse, error) {
-	return &carobthreadv1.ReportResponse{Healthy: true, HeldSnapshots: []uint64{7}}, nil
+func (*misroutingUpstream) Report(context.Context, carobthread.Searcher) (*carobthread.ReportArrived, error) {
+	return &carobthread.ReportArrived{Healthy: true, HeldSnapshots: []uint64{7}}, nil
 }
 
 func startSearch(t *testing.T, upstream carobthread.Upstream) *server.Search {
--- a/time.go
+++ b/time.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Instant is a point in time in nanoseconds since the Unix epoch.
+// Instant is a point in time in nanoseconds, close to the Unix epoch's count at the start of the process and steady from then on.
 type Instant int64
 
 // At converts a time to an Instant.
@@ -35,6 +35,16 @@
 	Now() Instant
 	// Subscribe calls the subscriber once each period until the returned function is called.
 	Subscribe(period time.Duration, subscriber Subscriber) (cancel func())
+	// Alarm returns an alarm that ticks the subscriber once for each time it is set.
+	Alarm(subscriber Subscriber) Alarm
+}
+
+// Alarm is a subscription to single ticks, for parts that need none while nothing is due.
+type Alarm interface {
+	// Set asks for a tick at the given instant in place of the one asked for before.
+	Set(at Instant)
+	// Stop ends the subscription.
+	Stop()
 }
 
 // SubscriberFunc adapts a function to Subscriber.
