--- a/server/execution_test.go
+++ b/server/execution_test.go
@@ -25,6 +25,7 @@
 	"carobthread/rpc/carobthreadv1"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
 	"carobthread/server"
+	"carobthread/timer"
 )
 
 // fleet is 4 entry hosts in this process with real loopback towards callers and upstreams.
