--- a/caller/pool.go
+++ b/caller/pool.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"sync"
+
+	"carobthread"
 )
 
 // connection is one connection of a pool; the pool's mutex guards its counts.
@@ -15,6 +17,8 @@
 	http2     bool
 	inFlight  int
 	exclusive bool
+	// expires is when the searcher may close the connection, or 0 if it has not said so; only the holder uses it.
+	expires carobthread.Instant
 }
 
 func (conn *connection) close() { _ = conn.client.Close() } // the connection is given up either way
--- a/cmd/carobthreadd/main.go
+++ b/cmd/carobthreadd/main.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"carobthread/parser"
+	"carobthread/platform"
 	"carobthread/runner"
 )
 
@@ -25,7 +26,7 @@
 )
 
 type arguments struct {
-	Settings string `long:"settings" required:"true" description:"INI file with the settings of this host"`
+	Settings string `long:"settings" description:"INI file with the settings of this host; default the file that the platform names in the environment"`
 }
 
 func main() {
@@ -43,6 +44,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	if given.Settings == "" {
+		given.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	content, err := os.ReadFile(given.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -54,7 +58,11 @@
 		return exitUsage
 	}
 	level, _ := zerolog.ParseLevel(settings.Log.Level)
-	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
+	output := os.Stderr
+	if settings.Store.Address != "" {
+		output = os.Stdout
+	}
+	logger := zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
 	return serve(runner.Options{Settings: settings, Logger: logger, Seed: rand.Uint64()})
 }
 
@@ -71,7 +79,7 @@
 		<-signals
 		close(abort)
 	}()
-	host, err := runner.New(ctx, options)
+	host, err := start(ctx, options)
 	if err == nil {
 		err = host.Run(ctx, abort)
 	}
@@ -81,3 +89,16 @@
 	}
 	return exitDone
 }
+
+// entryHost is an entry host of either kind.
+type entryHost interface {
+	Run(ctx context.Context, abort <-chan struct{}) error
+}
+
+// start builds the kind of host that the settings ask for.
+func start(ctx context.Context, options runner.Options) (entryHost, error) {
+	if options.Settings.Store.Address != "" {
+		return runner.NewFront(ctx, options)
+	}
+	return runner.New(ctx, options)
+}
--- a/config.go
+++ b/config.go
@@ -65,6 +65,8 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Leaving     bool   `json:"leaving"`
+	// Instance names the one process that may run a request, for searchers whose addresses are used again.
+	Instance string `json:"instance,omitempty"`
 }
 
 // Config is the whole state in force, with slices ordered by name so that iteration is deterministic.
@@ -80,7 +82,7 @@
 type RetryBudget struct {
 	// Ratio is the number of extra attempts for each query, and Slack the number permitted beside.
 	Ratio  float64       `json:"ratio"`
-	Slack  int           `json:"slack"`
+	Slack  float64       `json:"slack"`
 	Window time.Duration `json:"window"`
 }
 
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,276 @@
+package follower
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"carobthread"
+)
+
+const (
+	// returnHold is how long a removed entry stands after an outage of the store, in which leases may have run out.
+	returnHold = 2 * time.Second
+	// outageSpan is how long after a failed call a removal may stem from the outage.
+	outageSpan = 5 * time.Second
+	// tombstoneSpan is how long removals are kept for hosts that have missed them.
+	tombstoneSpan = time.Minute
+)
+
+// entry is the last item of one key.
+type entry struct {
+	item carobthread.StoreItem
+	// changed is the revision of the last change of more than the sequence number.
+	changed      uint64
+	registration carobthread.Registration
+	valid        bool
+	// removeAt is when a held removal takes effect, or 0.
+	removeAt  carobthread.Instant
+	removedAt carobthread.Instant
+}
+
+// Follower holds what is known of the store; it is not safe for concurrent use.
+type Follower struct {
+	decoder   carobthread.ItemDecoder
+	table     carobthread.RoutingTable
+	tableItem carobthread.StoreItem
+	tableFrom string
+	tableAt   carobthread.Instant
+	entries   map[string]*entry
+	// asOf is the revision of the store up to which everything is known; 0 before the first list.
+	asOf     uint64
+	failedAt carobthread.Instant
+	readAt   carobthread.Instant
+	// horizon is the lowest revision from which changes can be told completely.
+	horizon uint64
+}
+
+// New returns a follower that knows nothing.
+func New(decoder carobthread.ItemDecoder) *Follower {
+	return &Follower{decoder: decoder, entries: map[string]*entry{}}
+}
+
+// Change states what an input changed.
+type Change struct {
+	Table     bool
+	Searchers bool
+	// Findings are items that could not be decoded.
+	Findings []error
+}
+
+// Digest states how much a host knows.
+type Digest struct {
+	Version uint64 `json:"version"`
+	AsOf    uint64 `json:"as-of"`
+}
+
+// Delta is what a host with some digest lacks.
+type Delta struct {
+	Digest
+	// Table is the item of the routing table, if the asking host's version is lower.
+	Table *carobthread.StoreItem `json:"table,omitempty"`
+	// Items are the entries that changed since the asking host's revision, or all entries if Whole is set.
+	Items []carobthread.StoreItem `json:"items,omitempty"`
+	Whole bool                    `json:"whole,omitempty"`
+}
+
+// Digest returns what this host knows.
+func (follower *Follower) Digest() Digest {
+	return Digest{Version: follower.table.Version, AsOf: follower.asOf}
+}
+
+// Table returns the routing table; its version is 0 before one is known.
+func (follower *Follower) Table() carobthread.RoutingTable { return follower.table }
+
+// TableAge returns how long the table has been known and which host or store told it.
+func (follower *Follower) TableAge(now carobthread.Instant) (age time.Duration, source string) {
+	return now.Sub(follower.tableAt), follower.tableFrom
+}
+
+// Registrations returns the searchers' valid entries ordered by ID.
+func (follower *Follower) Registrations() []carobthread.Registration {
+	var found []carobthread.Registration
+	for _, held := range follower.entries {
+		if held.valid && !held.item.Removed {
+			found = append(found, held.registration)
+		}
+	}
+	slices.SortFunc(found, func(left, right carobthread.Registration) int { return cmp.Compare(left.ID, right.ID) })
+	return found
+}
+
+// Listed takes a complete list of all items.
+func (follower *Follower) Listed(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
+	change := follower.take(now, source, items)
+	listed := make(map[string]bool, len(items))
+	for _, item := range items {
+		listed[item.Key] = true
+	}
+	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
+		held := follower.entries[key]
+		if !listed[key] && !held.item.Removed && held.item.Revision <= asOf {
+			follower.remove(now, key, asOf, &change)
+		}
+	}
+	follower.asOf = max(follower.asOf, asOf)
+	follower.horizon = max(follower.horizon, asOf)
+	follower.readAt = now
+	return change
+}
+
+// Watched takes the changes since the revision that was known.
+func (follower *Follower) Watched(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
+	change := follower.take(now, source, items)
+	follower.asOf = max(follower.asOf, asOf)
+	follower.readAt = now
+	return change
+}
+
+// Failed notes that the store did not answer or refused a call.
+func (follower *Follower) Failed(now carobthread.Instant) { follower.failedAt = now }
+
+// Missing returns what a host with the given digest lacks.
+func (follower *Follower) Missing(asked Digest) Delta {
+	delta := Delta{Digest: follower.Digest()}
+	if follower.table.Version > asked.Version {
+		delta.Table = &follower.tableItem
+	}
+	if follower.asOf <= asked.AsOf {
+		return delta
+	}
+	delta.Whole = asked.AsOf < follower.horizon
+	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
+		held := follower.entries[key]
+		if held.changed > asked.AsOf || delta.Whole && !held.item.Removed {
+			delta.Items = append(delta.Items, held.item)
+		}
+	}
+	return delta
+}
+
+// Merged takes what another host told.
+func (follower *Follower) Merged(now carobthread.Instant, source string, delta Delta) Change {
+	var items []carobthread.StoreItem
+	if delta.Table != nil {
+		items = append(items, *delta.Table)
+	}
+	if delta.AsOf <= follower.asOf {
+		return follower.take(now, source, items)
+	}
+	items = append(items, delta.Items...)
+	if delta.Whole {
+		return follower.Listed(now, source, items, delta.AsOf)
+	}
+	return follower.Watched(now, source, items, delta.AsOf)
+}
+
+// Tick makes held removals take effect and forgets old ones.
+func (follower *Follower) Tick(now carobthread.Instant) Change {
+	var change Change
+	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
+		held := follower.entries[key]
+		switch {
+		case held.removeAt != 0 && now >= held.removeAt:
+			held.drop(now)
+			change.Searchers = true
+		case held.item.Removed && now.Sub(held.removedAt) >= tombstoneSpan:
+			follower.horizon = max(follower.horizon, held.changed)
+			delete(follower.entries, key)
+		}
+	}
+	return change
+}
+
+// NextDue returns when a held removal takes effect, or 0 if none is held.
+func (follower *Follower) NextDue() carobthread.Instant {
+	var due carobthread.Instant
+	for _, held := range follower.entries {
+		if held.removeAt != 0 && (due == 0 || held.removeAt < due) {
+			due = held.removeAt
+		}
+	}
+	return due
+}
+
+// take joins items with what is known.
+func (follower *Follower) take(now carobthread.Instant, source string, items []carobthread.StoreItem) Change {
+	var change Change
+	for _, item := range items {
+		table, isTable, err := follower.decoder.Table(item)
+		if err != nil {
+			change.Findings = append(change.Findings, err)
+		}
+		if isTable {
+			if err == nil && table.Version > follower.table.Version {
+				follower.table, follower.tableItem = table, item
+				follower.tableFrom, follower.tableAt = source, now
+				change.Table = true
+			}
+			continue
+		}
+		follower.takeEntry(now, item, &change)
+	}
+	return change
+}
+
+func (follower *Follower) takeEntry(now carobthread.Instant, item carobthread.StoreItem, change *Change) {
+	registration, isEntry, err := follower.decoder.Registration(item)
+	if !isEntry {
+		return
+	}
+	if item.Removed {
+		follower.remove(now, item.Key, item.Revision, change)
+		return
+	}
+	held := follower.entries[item.Key]
+	if held == nil {
+		held = &entry{}
+		follower.entries[item.Key] = held
+	}
+	if item.Revision <= held.item.Revision {
+		return
+	}
+	valid := err == nil
+	if err != nil {
+		change.Findings = append(change.Findings, err)
+	}
+	differs := held.item.Removed || valid != held.valid || registration != held.registration
+	if held.registration.Cold > 0 && registration.Cold > 0 {
+		cold := held.registration
+		cold.Cold = registration.Cold
+		differs = held.item.Removed || valid != held.valid || registration != cold
+	}
+	held.item = item
+	held.registration, held.valid = registration, valid
+	held.removeAt = 0
+	if differs {
+		held.changed = item.Revision
+		change.Searchers = true
+	}
+}
+
+// remove takes a searcher out at once, or after returnHold if the removal may stem from an outage of the store.
+func (follower *Follower) remove(now carobthread.Instant, key string, revision uint64, change *Change) {
+	held := follower.entries[key]
+	if held == nil || held.item.Removed || revision <= held.item.Revision {
+		return
+	}
+	held.item.Revision = revision
+	held.changed = revision
+	if follower.failedAt != 0 && now.Sub(follower.failedAt) < outageSpan {
+		if held.removeAt == 0 {
+			held.removeAt = now.Add(returnHold)
+		}
+		return
+	}
+	held.drop(now)
+	change.Searchers = true
+}
+
+func (held *entry) drop(now carobthread.Instant) {
+	held.item.Removed = true
+	held.item.Content = nil
+	held.removeAt = 0
+	held.removedAt = now
+}
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -43,7 +43,7 @@
 // configureGroups divides the budget of each group by the number of live hosts.
 func (gatherer *Gatherer) configureGroups() {
 	budget := &gatherer.retryBudget
-	slack := float64(budget.Slack) / float64(gatherer.budgetHosts)
+	slack := budget.Slack / float64(gatherer.budgetHosts)
 	for _, row := range gatherer.groups {
 		row.window.Configure(budget.Ratio, slack, budget.Window)
 	}
--- a/messenger/hello.go
+++ b/messenger/hello.go
@@ -36,6 +36,8 @@
 	known, found := messenger.hosts[stated.Name]
 	messenger.mutex.Unlock()
 	switch {
+	case messenger.options.Open:
+		return nil
 	case !found || known.Name == "":
 		return fmt.Errorf("host %q is not in the view", stated.Name)
 	case known.DataCentre != stated.DataCentre:
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -49,6 +49,8 @@
 	Timer   carobthread.Timer
 	Logger  zerolog.Logger
 	Seed    uint64
+	// Open accepts links of hosts that are not in the view yet, where nothing but the hosts themselves tells of them.
+	Open bool
 }
 
 // Messenger sends requests to peers and serves theirs; it is safe for concurrent use.
@@ -112,7 +114,7 @@
 		}
 	}
 	for conn, name := range messenger.accepted {
-		if _, known := messenger.hosts[name]; !known {
+		if _, known := messenger.hosts[name]; !known && (!messenger.options.Open || messenger.closed) {
 			ended = append(ended, conn)
 		}
 	}
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -22,6 +22,11 @@
 	maxUsedKeys        = 10_000_000
 	maxUsedKeyBytes    = 1024 * megabyte
 	maxStopDuration    = time.Hour
+	maxRetryRatio      = 10
+	maxRetrySlack      = 1e6
+	maxProcessors      = 1024
+	leastMemory        = 16 * megabyte
+	mostMemory         = 1 << 40
 	defaultRequestSize = 64 * kilobyte
 	defaultReplySize   = megabyte
 )
@@ -39,8 +44,9 @@
 			MaxKeyBytes:    64 * megabyte,
 			KeyExpiry:      10 * time.Minute,
 		},
-		Stop: carobthread.StopSettings{Grace: 3 * time.Second, Limit: 30 * time.Second},
-		Log:  carobthread.LogSettings{Level: "info"},
+		Forward: carobthread.ForwardSettings{RetryRatio: 0.2, RetryWindow: 10 * time.Second},
+		Stop:    carobthread.StopSettings{Grace: 3 * time.Second, Limit: 30 * time.Second},
+		Log:     carobthread.LogSettings{Level: "info"},
 	}
 }
 
@@ -62,7 +68,11 @@
 		}
 		doc.read(current, fields...)
 	}
-	doc.demand("host", "platform")
+	if doc.section("store") == nil {
+		doc.demand("host", "platform")
+	} else {
+		doc.demand("host")
+	}
 	doc.checkStop(settings.Stop)
 }
 
@@ -70,6 +80,8 @@
 	host := &settings.Host
 	limits := &settings.Limits
 	stop := &settings.Stop
+	forward := &settings.Forward
+	runtime := &settings.Runtime
 	return map[string][]field{
 		"host": {
 			required("name", name(&host.Name)),
@@ -79,7 +91,18 @@
 			required("operator-address", listenAddress(&host.OperatorAddress)),
 		},
 		"platform": {required("address", address(&settings.Platform.Address))},
-		"peers":    {optional("addresses", seedPeers(&settings.Peers.Addresses))},
+		"store":    {required("address", address(&settings.Store.Address))},
+		"forward": {
+			optional("ready-address", listenAddress(&forward.ReadyAddress)),
+			optional("retry-ratio", share(&forward.RetryRatio, 0, maxRetryRatio)),
+			optional("retry-slack", share(&forward.RetrySlack, 0, maxRetrySlack)),
+			optional("retry-window", duration(&forward.RetryWindow, 100*time.Millisecond, 10*time.Minute)),
+		},
+		"runtime": {
+			optional("processors", integer(&runtime.Processors, 1, maxProcessors)),
+			optional("memory", size(&runtime.Memory, leastMemory, mostMemory)),
+		},
+		"peers": {optional("addresses", seedPeers(&settings.Peers.Addresses))},
 		"limits": {
 			optional("max-request-size", size(&limits.MaxRequestSize, kilobyte, maxRequestSize)),
 			optional("max-reply-size", size(&limits.MaxReplySize, kilobyte, maxReplySize)),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -94,7 +94,9 @@
 	host.spans = spans
 	host.tracer = spans.Provider().Tracer("carobthread")
 	registry := prometheus.NewRegistry()
-	host.meter = server.NewMeter(host.newScope(registry))
+	scope, closeScope := newScope(host.settings, registry)
+	host.closers = append(host.closers, closeScope)
+	host.meter = server.NewMeter(scope)
 	host.listeners, err = listen(ctx, host.settings)
 	if err != nil {
 		return nil, err
@@ -188,16 +190,16 @@
 	return secret
 }
 
-func (host *Runner) newScope(registry *prometheus.Registry) tally.Scope {
+// newScope returns a scope that reports to the registry, and the function that ends it.
+func newScope(settings *carobthread.Settings, registry *prometheus.Registry) (scope tally.Scope, end func()) {
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "carobthread",
-		Tags:           map[string]string{"host": host.settings.Host.Name, "data_centre": host.settings.Host.DataCentre},
+		Tags:           map[string]string{"host": settings.Host.Name, "data_centre": settings.Host.DataCentre},
 		CachedReporter: reporter,
 		Separator:      tallyprom.DefaultSeparator,
 	}, meterPeriod)
-	host.closers = append(host.closers, func() { _ = closer.Close() })
-	return scope
+	return scope, func() { _ = closer.Close() }
 }
 
 // CallerAddress returns the IP address and port that callers use.
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -4,9 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
-	"carobthread"
+	"carobthread/timer"
 )
 
 // errAborted ends a graceful stop early.
@@ -30,7 +29,7 @@
 	host.logger.Info().Dur("grace", host.settings.Stop.Grace).Msg("stopping, not ready")
 	host.control.Leave()
 	host.execution.Drain()
-	pause(ctx, host.timer, host.settings.Stop.Grace)
+	timer.Pause(ctx, host.timer, host.settings.Stop.Grace)
 	host.execution.Stop()
 	err := host.listeners.callerServer.Shutdown(ctx)
 	err = errors.Join(err, host.search.Wait(ctx), host.execution.Wait(ctx))
@@ -41,22 +40,3 @@
 	host.logger.Info().Err(err).Msg("stopped")
 	return err
 }
-
-// pause waits for the span or the end of the context.
-func pause(ctx context.Context, timer carobthread.Timer, span time.Duration) {
-	if span <= 0 {
-		return
-	}
-	passed := make(chan struct{}, 1)
-	cancel := timer.Subscribe(span, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
-		select {
-		case passed <- struct{}{}:
-		default:
-		}
-	}))
-	defer cancel()
-	select {
-	case <-passed:
-	case <-ctx.Done():
-	}
-}
--- a/settings.go
+++ b/settings.go
@@ -6,6 +6,9 @@
 type Settings struct {
 	Host     HostSettings
 	Platform PlatformSettings
+	Store    StoreSettings
+	Forward  ForwardSettings
+	Runtime  RuntimeSettings
 	Peers    PeerSettings
 	Limits   LimitSettings
 	Stop     StopSettings
@@ -27,12 +30,39 @@
 	OperatorAddress string
 }
 
-// PlatformSettings is section [platform], which is required.
+// PlatformSettings is section [platform], which is required unless there is a section [store].
 type PlatformSettings struct {
 	// Address is the key address, where the configuration service answers HTTP.
 	Address string
 }
 
+// StoreSettings is section [store]; with it, the host forwards plain HTTP requests as the platform's store says.
+type StoreSettings struct {
+	// Address is the key address, where the platform's store answers HTTP.
+	Address string
+}
+
+// ForwardSettings is section [forward], which is optional and concerns plain HTTP requests.
+type ForwardSettings struct {
+	// ReadyAddress is the key ready-address, where the balancer asks GET /readyz; default the operators' address.
+	ReadyAddress string
+	// RetryRatio is the key retry-ratio: the attempts beyond the first for each request that a replica group may get
+	// from the whole fleet, default 0.2, 0 to 10.
+	RetryRatio float64
+	// RetrySlack is the key retry-slack: the attempts permitted beside the ratio in a window, default 0, 0 to 1000000.
+	RetrySlack float64
+	// RetryWindow is the key retry-window, the sliding window of both, default 10s, 100ms to 10m.
+	RetryWindow time.Duration
+}
+
+// RuntimeSettings is section [runtime], which is optional.
+type RuntimeSettings struct {
+	// Processors is the key processors, how many threads run Go code at once, default that of the Go runtime, 1 to 1024.
+	Processors int
+	// Memory is the key memory, the size that the process must not reach, default none, 16MB to 1048576MB.
+	Memory int
+}
+
 // PeerSettings is section [peers], which is optional.
 type PeerSettings struct {
 	// Addresses is the key addresses: seed peers separated by commas, each NAME=IP:PORT or IP:PORT; default none.
--- a/tracker/neighbours.go
+++ b/tracker/neighbours.go
@@ -51,11 +51,12 @@
 	neighbours.names = append(neighbours.names, candidates[:missing]...)
 }
 
-// inCentre returns the other hosts of the own data centre that the filter accepts.
+// inCentre returns the other hosts of the own data centre, or of the whole fleet, that the filter accepts.
 func (tracker *Tracker) inCentre(accept func(row *entry) bool) []string {
 	var names []string
 	for _, row := range tracker.table.rows {
-		other := row.record.DataCentre == tracker.self.DataCentre && row.record.Name != tracker.self.Name
+		near := tracker.wholeFleet || row.record.DataCentre == tracker.self.DataCentre
+		other := near && row.record.Name != tracker.self.Name
 		if other && accept(row) {
 			names = append(names, row.record.Name)
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -87,6 +87,8 @@
 	nextBucket uint32
 	relearning carobthread.Instant
 	listRead   bool
+	// wholeFleet is set by WholeFleet.
+	wholeFleet bool
 	changes    Changes
 }
 
@@ -106,6 +108,10 @@
 	return tracker
 }
 
+// WholeFleet makes this host exchange with and judge the hosts of all data centres, as suits a fleet of up to some
+// hundred hosts, and outlive other incarnations of its own name, where the platform gives each name to one process.
+func (tracker *Tracker) WholeFleet() { tracker.wholeFleet = true }
+
 // Step takes one event and returns what it changed.
 func (tracker *Tracker) Step(event Event) Changes {
 	tracker.changes = Changes{}
@@ -207,7 +213,7 @@
 		return
 	}
 	centre := row.record.DataCentre
-	if centre != tracker.self.DataCentre && tracker.table.answering(centre) > assigner.ReadersPerCentre {
+	if !tracker.wholeFleet && centre != tracker.self.DataCentre && tracker.table.answering(centre) > assigner.ReadersPerCentre {
 		return
 	}
 	row.misses++
@@ -251,6 +257,9 @@
 func (tracker *Tracker) learnSelf(now carobthread.Instant, record Record) bool {
 	own := tracker.self
 	switch {
+	case own.Incarnation.Less(record.Incarnation) && tracker.wholeFleet:
+		// The clock may have stood later at the earlier start.
+		tracker.self.Incarnation.Start = record.Incarnation.Start + 1
 	case own.Incarnation.Less(record.Incarnation):
 		tracker.changes.Superseded = true
 		return false
