Read the settings again on SIGHUP and when the file changes

Ruled out: a change of the settings' content; the file was the same. Change: a reloader compares the file every 2 s and at each SIGHUP, and puts the retry budget, seeds, stop and memory limits in force.

--- a/cmd/carobthreadd/main.go
+++ b/cmd/carobthreadd/main.go
@@ -63,7 +63,9 @@
 		output = os.Stdout
 	}
 	logger := zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
-	return serve(runner.Options{Settings: settings, Logger: logger, Seed: rand.Uint64()})
+	return serve(runner.Options{
+		Settings: settings, SettingsFile: given.Settings, SettingsContent: content, Logger: logger, Seed: rand.Uint64(),
+	})
 }
 
 // serve runs the host until the first signal asks for a stop; a second signal aborts the stop.
@@ -72,6 +74,9 @@
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	options.Reloads = reloads
 	abort := make(chan struct{})
 	go func() {
 		<-signals
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -85,16 +85,23 @@
 	return messenger
 }
 
+// SetSeeds replaces the seeds; it takes effect with the next SetHosts.
+func (messenger *Messenger) SetSeeds(seeds []carobthread.Host) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	messenger.options.Seeds = seeds
+}
+
 // SetHosts replaces the known hosts by the view and the seeds, and ends the links of all others.
 func (messenger *Messenger) SetHosts(view carobthread.View) {
-	hosts := make(map[string]carobthread.Host, len(view.Hosts)+len(messenger.options.Seeds))
+	hosts := make(map[string]carobthread.Host, len(view.Hosts))
+	messenger.mutex.Lock()
 	for _, host := range messenger.options.Seeds {
 		hosts[cmp.Or(host.Name, host.PeerAddress)] = host
 	}
 	for _, host := range view.Hosts {
 		hosts[host.Name] = host
 	}
-	messenger.mutex.Lock()
 	messenger.hosts = hosts
 	ended := messenger.takeUnknownLocked()
 	messenger.mutex.Unlock()
--- a/runner/front.go
+++ b/runner/front.go
@@ -51,8 +51,10 @@
 
 // Front is an entry host that forwards plain HTTP requests by the platform's store.
 type Front struct {
-	options   Options
-	settings  *carobthread.Settings
+	options  Options
+	settings *carobthread.Settings
+	// reloaded are the settings in force; only what Reload names differs from the settings at the start.
+	reloaded  atomic.Pointer[carobthread.Settings]
 	logger    zerolog.Logger
 	timer     carobthread.Timer
 	spans     *tracer.Exporter
@@ -79,6 +81,7 @@
 // NewFront builds the parts and listens on the host's addresses; it serves once Run is called.
 func NewFront(ctx context.Context, options Options) (*Front, error) {
 	host := &Front{options: options, settings: &options.Settings, logger: options.Logger, timer: timer.New()}
+	host.reloaded.Store(host.settings)
 	host.limitRuntime()
 	spans, err := tracer.New(ctx, options.Settings.Host.Name, options.Settings.Trace.Spans)
 	if err != nil {
@@ -168,14 +171,7 @@
 		Incarnation: carobthread.Incarnation{Start: host.timer.Now(), Random: rand.Uint64()},
 		State:       carobthread.HostLive,
 	}
-	var contacts []string
-	var seeds []carobthread.Host
-	for _, seed := range host.settings.Peers.Addresses {
-		if seed.Address != self.PeerAddress {
-			contacts = append(contacts, seed.Address)
-			seeds = append(seeds, carobthread.Host{PeerAddress: seed.Address})
-		}
-	}
+	contacts, seeds := host.seeds()
 	router := &frontPeers{}
 	host.messenger = messenger.New(messenger.Options{
 		Self: self, Seeds: seeds, Handler: router, Timer: host.timer, Logger: host.logger, Seed: host.options.Seed, Open: true,
@@ -198,6 +194,30 @@
 	host.viewed(carobthread.View{Self: self.Name, Hosts: []carobthread.Host{self}})
 }
 
+// seeds returns the addresses of other hosts that the settings name, and the hosts to link with by them.
+func (host *Front) seeds() (contacts []string, hosts []carobthread.Host) {
+	for _, seed := range host.reloaded.Load().Peers.Addresses {
+		if seed.Address != host.listeners.peer.Addr().String() {
+			contacts = append(contacts, seed.Address)
+			hosts = append(hosts, carobthread.Host{PeerAddress: seed.Address})
+		}
+	}
+	return contacts, hosts
+}
+
+// Reload puts the retry budget, the seeds, the limit of a stop and the memory limit of new settings in force; other
+// changes need a restart.
+func (host *Front) Reload(settings carobthread.Settings) {
+	host.reloaded.Store(&settings)
+	if settings.Runtime.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Runtime.Memory)))
+	}
+	contacts, seeds := host.seeds()
+	host.messenger.SetSeeds(seeds)
+	host.directory.SetContacts(contacts)
+	host.directory.Announce()
+}
+
 // frontPeers breaks the circle between the messenger and the directory.
 type frontPeers struct{ carobthread.PeerHandler }
 
@@ -208,7 +228,7 @@
 
 // changed puts a routing table and the searchers in force; the searchers first, since requests follow the router.
 func (host *Front) changed(table carobthread.RoutingTable, entries []carobthread.Registration) {
-	forward := &host.settings.Forward
+	forward := &host.reloaded.Load().Forward
 	host.search.Configure(planner.Plan(&table, entries, carobthread.RetryBudget{
 		Ratio: forward.RetryRatio, Slack: forward.RetrySlack, Window: forward.RetryWindow,
 	}))
@@ -256,6 +276,8 @@
 	failed := host.serve(background)
 	var loops sync.WaitGroup
 	loops.Go(func() { host.directory.Run(background) })
+	reloader := NewReloader(host.options.SettingsFile, host.options.SettingsContent, host.logger, host.Reload)
+	loops.Go(func() { reloader.Run(background, host.timer, host.options.Reloads) })
 	host.logger.Info().Str("event", "started").
 		Str("caller-address", host.settings.Host.CallerAddress).
 		Str("peer-address", host.settings.Host.PeerAddress).
@@ -295,7 +317,7 @@
 // stop ends the host in this order: it is not ready and each answer closes its connection, callers that are still sent
 // get the first part of the limit, then idle connections close and what runs may end in the rest.
 func (host *Front) stop(background context.Context, abort <-chan struct{}) error {
-	limit := host.settings.Stop.Limit
+	limit := host.reloaded.Load().Stop.Limit
 	ctx, cancel := context.WithTimeout(background, time.Duration(closeShare*float64(limit)))
 	defer cancel()
 	go func() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,7 +51,12 @@
 // Options are what a Runner needs beside its settings.
 type Options struct {
 	Settings carobthread.Settings
-	Logger   zerolog.Logger
+	// SettingsFile and SettingsContent are where the settings come from; a host that may reload them reads the file again.
+	SettingsFile    string
+	SettingsContent []byte
+	// Reloads gets a value for each request to read the settings again.
+	Reloads <-chan os.Signal
+	Logger  zerolog.Logger
 	// Seed fixes the random choices of the cores.
 	Seed uint64
 }
--- a/server/directory.go
+++ b/server/directory.go
@@ -106,6 +106,23 @@
 	directory.trackLocked(tracker.Event{Stop: &tracker.SelfStopping{}})
 }
 
+// SetContacts replaces the addresses of peers from the settings.
+func (directory *Directory) SetContacts(contacts []string) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.options.Contacts = contacts
+}
+
+// Announce tells once more what is known, for parts whose own settings have changed.
+func (directory *Directory) Announce() {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.options.Viewed(directory.options.Tracker.View())
+	if table := directory.options.Follower.Table(); table.Version != 0 {
+		directory.options.Changed(table, directory.options.Follower.Registrations())
+	}
+}
+
 // Stats returns the counts.
 func (directory *Directory) Stats() DirectoryStats {
 	directory.mutex.Lock()
