Test forwarding, following and the retry window; log decisions on requests

Cause: the parts of the platform path had no tests of their own, and nothing told afterwards why a request failed. Change: scripted tests of the follower, the router and the HTTP caller, a property test of the retry window, a cut at every byte of request and reply; the query path keeps the decisions on each request, which are logged whole for failed, refused, late and incomplete requests up to a rate and for one in 256 others, by a writer that never blocks. A removal that one host holds after an outage now reaches hosts that hear of the store only from it (found by the script, failing before).

--- a/cmd/carobthreadd/main.go
+++ b/cmd/carobthreadd/main.go
@@ -5,14 +5,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"carobthread/logger"
 	"carobthread/parser"
 	"carobthread/platform"
 	"carobthread/runner"
@@ -58,16 +61,27 @@
 		return exitUsage
 	}
 	level, _ := zerolog.ParseLevel(settings.Log.Level)
-	output := os.Stderr
+	var output io.Writer = os.Stderr
 	if settings.Store.Address != "" {
-		output = os.Stdout
+		lines := logger.NewWriter(os.Stdout)
+		defer waitFor(lines.Close)
+		output = lines
 	}
-	logger := zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
+	log := zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
 	return serve(runner.Options{
-		Settings: settings, SettingsFile: given.Settings, SettingsContent: content, Logger: logger, Seed: rand.Uint64(),
+		Settings: settings, SettingsFile: given.Settings, SettingsContent: content, Logger: log, Seed: rand.Uint64(),
 	})
 }
 
+// waitFor gives the last log lines some time to be written.
+func waitFor(closing func() <-chan struct{}) {
+	const patience = 200 * time.Millisecond
+	select {
+	case <-closing():
+	case <-time.After(patience):
+	}
+}
+
 // serve runs the host until the first signal asks for a stop; a second signal aborts the stop.
 func serve(options runner.Options) int {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/event.go
+++ b/event.go
@@ -1,5 +1,7 @@
 package carobthread
 
+import "time"
+
 // QueryID names a query on one entry host.
 type QueryID uint64
 
@@ -130,6 +132,20 @@
 	Snapshot uint64      `json:"snapshot"`
 	Layout   uint32      `json:"layout"`
 	Deadline Instant     `json:"deadline"`
+	// Inputs explain the choice to operators; they are no part of a recorded decision.
+	Inputs ChoiceInputs `json:"-"`
+}
+
+// ChoiceInputs are what decided on the searcher of an attempt.
+type ChoiceInputs struct {
+	// Class is the rank of the searcher among the replicas of its shard.
+	Class string
+	// InFlight counts this host's attempts at the searcher before this one, and Limit bounds them.
+	InFlight int
+	Limit    int
+	// Estimate is the latency expected of the searcher, EstimateAge the time since its last sample.
+	Estimate    time.Duration
+	EstimateAge time.Duration
 }
 
 // CancelAttempt asks the process to cancel an attempt whose reply no longer matters.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -142,7 +142,11 @@
 	delta.Whole = asked.AsOf < follower.horizon
 	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
 		held := follower.entries[key]
-		if held.changed > asked.AsOf || delta.Whole && !held.item.Removed {
+		switch {
+		case held.changed <= asked.AsOf && (!delta.Whole || held.item.Removed):
+		case held.removeAt != 0: // the other host holds it for itself if it has missed the store too
+			delta.Items = append(delta.Items, carobthread.StoreItem{Key: key, Revision: held.changed, Removed: true})
+		default:
 			delta.Items = append(delta.Items, held.item)
 		}
 	}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,120 @@
+package follower_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"carobthread"
+	"carobthread/follower"
+	"carobthread/platform"
+)
+
+// TestScripts runs the scripts in testdata on two followers, a and b; each case names the failure that it guards against.
+//
+// A line of input is an item: "KEY REVISION VALUE", where the value "-" is a tombstone, "vN" a routing table of that
+// version, "ready" or "draining" an entry in that state, and anything else the content as it stands.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		run := &script{now: carobthread.Instant(time.Hour)}
+		run.reset()
+		datadriven.RunTest(t, path, run.command)
+	})
+}
+
+type script struct {
+	now   carobthread.Instant
+	hosts map[string]*follower.Follower
+}
+
+func (run *script) reset() {
+	run.hosts = map[string]*follower.Follower{"a": follower.New(platform.Decoder{}), "b": follower.New(platform.Decoder{})}
+}
+
+func (run *script) command(t *testing.T, data *datadriven.TestData) string {
+	var change follower.Change
+	name, after := "a", "0s"
+	asOf := 0
+	data.MaybeScanArgs(t, "host", &name)
+	data.MaybeScanArgs(t, "after", &after)
+	data.MaybeScanArgs(t, "as-of", &asOf)
+	span, err := time.ParseDuration(after)
+	if err != nil {
+		data.Fatalf(t, "%v", err)
+	}
+	run.now = run.now.Add(span)
+	host := run.hosts[name]
+	switch data.Cmd {
+	case "new":
+		run.reset()
+		return ""
+	case "list":
+		change = host.Listed(run.now, "store", items(t, data), uint64(asOf))
+	case "watch":
+		change = host.Watched(run.now, "store", items(t, data), uint64(asOf))
+	case "fail":
+		host.Failed(run.now)
+	case "tick":
+		change = host.Tick(run.now)
+	case "tell": // the other host tells the named one what it lacks
+		other := run.hosts[map[string]string{"a": "b", "b": "a"}[name]]
+		delta := other.Missing(host.Digest())
+		change = host.Merged(run.now, "peer", delta)
+	default:
+		data.Fatalf(t, "unknown command %s", data.Cmd)
+	}
+	return state(host, change)
+}
+
+func items(t *testing.T, data *datadriven.TestData) []carobthread.StoreItem {
+	t.Helper()
+	var found []carobthread.StoreItem
+	for _, line := range strings.Split(data.Input, "\n") {
+		if line == "" {
+			continue
+		}
+		fields := strings.SplitN(line, " ", 3)
+		revision, err := strconv.ParseUint(fields[1], 10, 64)
+		if err != nil {
+			data.Fatalf(t, "%v", err)
+		}
+		item := carobthread.StoreItem{Key: fields[0], Revision: revision, Content: []byte(fields[2])}
+		version, isTable := strings.CutPrefix(fields[2], "v")
+		switch {
+		case fields[2] == "-":
+			item.Content, item.Removed = nil, true
+		case isTable:
+			item.Content = []byte(`{"version":` + version + `}`)
+		case fields[2] == "ready", fields[2] == "draining":
+			item.Content = fmt.Appendf(nil, `{"service":"one","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":%q,"coldLeftMs":0,"sequence":%d}`, fields[2], revision)
+		}
+		found = append(found, item)
+	}
+	return found
+}
+
+func state(host *follower.Follower, change follower.Change) string {
+	output := strings.Builder{}
+	digest := host.Digest()
+	fmt.Fprintf(&output, "version %d as of %d:", digest.Version, digest.AsOf)
+	for _, entry := range host.Registrations() {
+		fmt.Fprintf(&output, " %s", entry.ID)
+		if entry.Draining {
+			output.WriteString("(draining)")
+		}
+	}
+	if change.Table {
+		output.WriteString("; table changed")
+	}
+	if change.Searchers {
+		output.WriteString("; searchers changed")
+	}
+	for _, finding := range change.Findings {
+		fmt.Fprintf(&output, "; %v", finding)
+	}
+	return output.String() + "\n"
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	TimeLeft time.Duration
 	Target   time.Duration
 	Answer   *carobthread.AnswerQuery
+	// Steps are the decisions on the request's attempts in their order.
+	Steps []server.Step
 	// RetryAfter is what the caller was told, or 0.
 	RetryAfter time.Duration
 	// CallerGone says that the caller closed its connection before the answer.
@@ -112,6 +114,7 @@
 	}
 	query := forwarder.query(request, body, &choice, record)
 	end, err := forwarder.options.Asker.Ask(request.Context(), query)
+	record.Steps = end.Steps
 	if err != nil {
 		record.CallerGone = true
 		return
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -20,7 +20,7 @@
 func (gatherer *Gatherer) dispatch(query *queryRow, shard uint32, kind carobthread.AttemptKind) {
 	index, found := gatherer.choose(query, shard)
 	if index >= 0 {
-		gatherer.send(query, shard, index, kind)
+		gatherer.send(query, shard, index, kind, found)
 		return
 	}
 	if found == classSaturated && gatherer.enqueue(query, shard, kind) {
@@ -44,9 +44,10 @@
 }
 
 // send sends an attempt to the replica with that index; the caller has checked deadline, slot and budget.
-func (gatherer *Gatherer) send(query *queryRow, shard uint32, index int, kind carobthread.AttemptKind) {
+func (gatherer *Gatherer) send(query *queryRow, shard uint32, index int, kind carobthread.AttemptKind, found class) {
 	service := query.service
 	replica := query.current.layout.shards[shard].replicas[index].row
+	inputs := gatherer.inputs(replica, found)
 	gatherer.nextAttempt++
 	attempt := gatherer.newAttempt()
 	*attempt = attemptRow{
@@ -82,10 +83,24 @@
 	if kind == carobthread.AttemptFirst {
 		service.budget.Deposit()
 	}
-	gatherer.emitSend(attempt)
+	gatherer.emitSend(attempt, inputs)
 }
 
-func (gatherer *Gatherer) emitSend(attempt *attemptRow) {
+// inputs tells what decided for the replica.
+func (gatherer *Gatherer) inputs(replica *replicaRow, found class) carobthread.ChoiceInputs {
+	inputs := carobthread.ChoiceInputs{
+		Class:    found.String(),
+		InFlight: replica.searcher.limit.Running(),
+		Limit:    replica.searcher.limit.Limit(),
+		Estimate: time.Duration(replica.latency),
+	}
+	if replica.seenAt != 0 {
+		inputs.EstimateAge = gatherer.now.Sub(replica.seenAt)
+	}
+	return inputs
+}
+
+func (gatherer *Gatherer) emitSend(attempt *attemptRow, inputs carobthread.ChoiceInputs) {
 	if len(gatherer.sends) == cap(gatherer.sends) {
 		gatherer.sends = make([]carobthread.SendAttempt, 0, sendChunk)
 	}
@@ -100,6 +115,7 @@
 		Snapshot: query.current.snapshot,
 		Layout:   query.current.layout.generation,
 		Deadline: query.deadline,
+		Inputs:   inputs,
 	})
 	gatherer.actions = append(gatherer.actions, carobthread.Action{Send: &gatherer.sends[len(gatherer.sends)-1]})
 }
@@ -132,7 +148,7 @@
 		state.checkAt = gatherer.now.Add(gatherer.payAgain(query, shard))
 		return
 	}
-	gatherer.send(query, shard, index, kind)
+	gatherer.send(query, shard, index, kind, found)
 }
 
 // suspect reports whether an attempt in flight is at a searcher or data centre whose last outcomes were bad, such as a searcher re-admitted after an ejection.
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -32,6 +32,14 @@
 	classGone
 )
 
+// String names the class for logs.
+func (found class) String() string {
+	names := [...]string{
+		"local", "remote", "saturated", "avoided", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "gone",
+	}
+	return names[found]
+}
+
 const (
 	// reportAge is how long a searcher's reported health and load break ties.
 	reportAge = time.Second
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -104,12 +104,12 @@
 			continue
 		}
 		gatherer.dequeue(row, i)
-		gatherer.serve(entry, index)
+		gatherer.serve(entry, index, found)
 	}
 }
 
 // serve sends an attempt that has left its queue, or recovers its shard if no replica is left.
-func (gatherer *Gatherer) serve(entry waiter, index int) {
+func (gatherer *Gatherer) serve(entry waiter, index int, found class) {
 	query := entry.query
 	switch {
 	case gatherer.answerIfDue(query):
@@ -117,7 +117,7 @@
 	case index < 0, entry.kind != carobthread.AttemptFirst && !gatherer.pay(query, entry.shard, entry.kind):
 		gatherer.recover(query, entry.shard)
 	default:
-		gatherer.send(query, entry.shard, index, entry.kind)
+		gatherer.send(query, entry.shard, index, entry.kind, found)
 	}
 	gatherer.finishIfDone(query)
 }
--- a/runner/front.go
+++ b/runner/front.go
@@ -22,6 +22,7 @@
 	"carobthread/follower"
 	"carobthread/forwarder"
 	"carobthread/gatherer"
+	"carobthread/logger"
 	"carobthread/messenger"
 	"carobthread/planner"
 	"carobthread/platform"
@@ -59,6 +60,7 @@
 	timer     carobthread.Timer
 	spans     *tracer.Exporter
 	meter     *server.Meter
+	requests  *logger.Requests
 	caller    *caller.HTTPCaller
 	store     *platform.Store
 	messenger *messenger.Messenger
@@ -92,6 +94,7 @@
 	scope, closeScope := newScope(host.settings, registry)
 	host.closers = append(host.closers, closeScope)
 	host.meter = server.NewMeter(scope)
+	host.requests = logger.NewRequests(host.logger)
 	if err := host.listen(ctx); err != nil {
 		return nil, errors.Join(err, host.listeners.close())
 	}
@@ -240,6 +243,7 @@
 
 // ended logs and counts a request that has been answered or given up.
 func (host *Front) ended(record *forwarder.Record) {
+	host.requests.Log(host.timer.Now(), record)
 	if record.Reason != "" {
 		host.meter.Refusal(record.Service, record.Reason)
 	}
--- a/server/search.go
+++ b/server/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	once    bool
 	cancels map[carobthread.AttemptID]context.CancelFunc
 	replies map[carobthread.AttemptID]*carobthread.ShardReply
+	steps   []Step
 	// rejected is the last whole answer of a searcher that does not count as a reply.
 	rejected *carobthread.ShardReply
 	done     chan Outcome
@@ -71,6 +73,34 @@
 	// Rejected is a searcher's own answer that counts as a failure, or nil.
 	Rejected *carobthread.ShardReply
 	Refusal  *carobthread.RefuseQuery
+	// Steps are the decisions on attempts in their order.
+	Steps []Step
+}
+
+// Decision names a decision on an attempt or its end, as logs do.
+type Decision string
+
+// The decisions on attempts.
+const (
+	AttemptSent    Decision = "attempt-sent"
+	AttemptEnded   Decision = "attempt-ended"
+	AttemptGivenUp Decision = "attempt-given-up"
+)
+
+// Text is the decision in words.
+func (decision Decision) Text() string { return strings.ReplaceAll(string(decision), "-", " ") }
+
+// Step is one decision on an attempt with its inputs, or the end of the attempt with its cause.
+type Step struct {
+	At       carobthread.Instant
+	Decision Decision
+	Attempt  carobthread.AttemptID
+	Shard    uint32
+	Searcher string
+	Kind     carobthread.AttemptKind
+	Inputs   carobthread.ChoiceInputs
+	Status   carobthread.ReplyStatus
+	Cause    error
 }
 
 // Query is one request with what the core needs to know of it; a zero Deadline takes the service's hard deadline.
@@ -187,7 +217,7 @@
 		return end, nil
 	case <-ctx.Done():
 		search.abandon(id)
-		return Outcome{}, ctx.Err()
+		return Outcome{Steps: query.steps}, ctx.Err()
 	}
 }
 
@@ -230,10 +260,12 @@
 		search.cancel(action.Cancel)
 	case action.Answer != nil:
 		search.finish(action.Answer.Query, func(query *pendingQuery) Outcome {
-			return Outcome{Answer: action.Answer, Replies: query.merged(action.Answer.Merge), Rejected: query.rejected}
+			return Outcome{Answer: action.Answer, Replies: query.merged(action.Answer.Merge), Rejected: query.rejected, Steps: query.steps}
 		})
 	case action.Refuse != nil:
-		search.finish(action.Refuse.Query, func(*pendingQuery) Outcome { return Outcome{Refusal: action.Refuse} })
+		search.finish(action.Refuse.Query, func(query *pendingQuery) Outcome {
+			return Outcome{Refusal: action.Refuse, Steps: query.steps}
+		})
 	case action.Connect != nil:
 		search.connect(action.Connect)
 	}
@@ -279,6 +311,7 @@
 	if query == nil {
 		return
 	}
+	query.steps = append(query.steps, Step{At: search.options.Timer.Now(), Decision: AttemptGivenUp, Attempt: action.Attempt})
 	if cancel := query.cancels[action.Attempt]; cancel != nil {
 		search.giveUp(cancel)
 		delete(query.cancels, action.Attempt)
@@ -315,6 +348,10 @@
 	}
 	ctx, cancel := context.WithTimeout(query.ctx, action.Deadline.Sub(search.options.Timer.Now()))
 	query.cancels[action.Attempt] = cancel
+	query.steps = append(query.steps, Step{
+		At: search.options.Timer.Now(), Decision: AttemptSent, Attempt: action.Attempt, Shard: action.Shard,
+		Searcher: action.Searcher, Kind: action.Kind, Inputs: action.Inputs,
+	})
 	search.running.Add(1)
 	go func() {
 		defer search.running.Done()
@@ -364,8 +401,14 @@
 		event.SnapshotAgeMicros = reply.SnapshotAgeMicros
 	}
 	search.mutex.Lock()
-	if query := search.pending[action.Query]; query != nil && own {
-		query.keep(action.Attempt, reply)
+	if query := search.pending[action.Query]; query != nil {
+		query.steps = append(query.steps, Step{
+			At: search.options.Timer.Now(), Decision: AttemptEnded, Attempt: action.Attempt, Shard: action.Shard,
+			Searcher: action.Searcher, Status: event.Status, Cause: err,
+		})
+		if own {
+			query.keep(action.Attempt, reply)
+		}
 	}
 	if own && reply.Load != nil {
 		search.stepLocked(carobthread.Event{Report: &carobthread.ReportArrived{
