Give the requests of the cut test names of one length

Cause: the length of a whole reply was taken from a longer request name, so the last positions did not cut the reply at all and the test failed now and then.

--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -181,15 +181,15 @@
 		assert.Equal(t, string(end.HTTP.Body), "sure")
 		return carobthread.Ran
 	}
-	assert.Equal(t, try("whole", -1, -1), carobthread.Ran)
+	assert.Equal(t, try("w0000", -1, -1), carobthread.Ran)
 	sent, received := cutter.passed[0].Load(), cutter.passed[1].Load()
 	for position := range sent + 1 {
-		id := fmt.Sprintf("q%d", position)
+		id := fmt.Sprintf("q%04d", position)
 		state := try(id, position, -1)
 		assert.Assert(t, arrived(id) <= 1 && (state != carobthread.NotRun || arrived(id) == 0), "%s: %s, arrived %d", id, state, arrived(id))
 	}
 	for position := range received {
-		id := fmt.Sprintf("p%d", position)
+		id := fmt.Sprintf("p%04d", position)
 		state := try(id, -1, position)
 		assert.Assert(t, state == carobthread.MayHaveRun && arrived(id) == 1, "%s: %s, arrived %d", id, state, arrived(id))
 	}
