Forward on connections of our own, and ignore heartbeats that are written late

The site files say that old heartbeats come late; one that was sent before the draining one and written after it brought the searcher back. Change 1: within one start of a searcher, a lower sequence number is ignored, also after the entry was removed; an earlier start is ignored altogether.

Change 2: a connection that looks for surplus bytes after each reply and before each request.

--- a/caller/http.go
+++ b/caller/http.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -97,7 +98,8 @@
 	if set, known := caller.counts[searcher.Name]; known {
 		count = set
 	}
-	found = newPool(searcher.Address, count, Options{DialTimeout: maxDialTimeout})
+	found = newPool(searcher.Address, count, Options{})
+	found.plain = &net.Dialer{Timeout: maxDialTimeout}
 	found.closed = caller.closed
 	caller.pools[searcher.Name] = found
 	return found
@@ -114,7 +116,7 @@
 	conn.raw.gate.Store(gate)
 	reply, reusable, err := caller.exchange(ctx, conn, searcher, request)
 	unwritten, cause := gate.close()
-	pool.release(conn, err == nil && reusable)
+	pool.release(conn, err == nil && reusable && conn.client.Err() == nil)
 	switch {
 	case err == nil:
 		return reply, nil
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -145,6 +145,30 @@
 	return fmt.Sprintf("%s %d %q seal %s load %v", reply.Status, reply.HTTP.Status, reply.HTTP.Body, reply.HTTP.Seal, reply.Load)
 }
 
+// Guards against a connection that one request looks at, and so spoils, while another one uses it.
+func TestHTTPConnectionsInUseAreLeftAlone(t *testing.T) {
+	searcher := newRawSearcher(t)
+	searcher.answer = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\nsure"
+	client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 4})
+	defer client.Close()
+	target := carobthread.Searcher{Name: "s", Address: searcher.listener.Addr().String(), Instance: "i"}
+	var requests sync.WaitGroup
+	for worker := range 4 {
+		requests.Go(func() {
+			for i := range 200 {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				_, err := client.SearchShard(ctx, target, forwarded(fmt.Sprintf("w%d-%d", worker, i), "/x/1"))
+				cancel()
+				assert.Check(t, err)
+			}
+		})
+	}
+	requests.Wait()
+	searcher.mutex.Lock()
+	defer searcher.mutex.Unlock()
+	assert.Assert(t, searcher.opened <= 4, "%d connections", searcher.opened)
+}
+
 // Guards against a request that arrives twice, or is called not run although it arrived, when the connection dies at any byte.
 func TestHTTPCutAtEachByte(t *testing.T) {
 	searcher := newRawSearcher(t)
--- a/caller/pool.go
+++ b/caller/pool.go
@@ -12,7 +12,7 @@
 
 // connection is one connection of a pool; the pool's mutex guards its counts.
 type connection struct {
-	client    *http.ClientConn
+	client    exchanger
 	raw       *gatedConn
 	http2     bool
 	inFlight  int
@@ -25,7 +25,12 @@
 
 // spent reports a connection that can carry no further request. An HTTP/2 connection whose searcher has
 // sent GOAWAY stays open without an error, and shows only in that it has no stream to offer while it is idle.
+//
+// A connection in exclusive use is its holder's: a look at it could take bytes of the reply.
 func (conn *connection) spent() bool {
+	if conn.exclusive {
+		return false
+	}
 	if conn.client.Err() != nil {
 		return true
 	}
@@ -40,6 +45,8 @@
 type pool struct {
 	address   string
 	transport *http.Transport
+	// plain dials connections for a wire in place of the transport, or is nil.
+	plain *net.Dialer
 	shared    bool // a connection carries several repeatable requests at once
 
 	mutex    sync.Mutex
@@ -158,6 +165,14 @@
 
 func (pool *pool) open(ctx context.Context) (*connection, error) {
 	raw := &gatedConn{}
+	if pool.plain != nil {
+		conn, err := pool.plain.DialContext(ctx, "tcp", pool.address)
+		if err != nil {
+			return nil, err
+		}
+		raw.Conn = conn
+		return &connection{client: newWire(raw), raw: raw}, nil
+	}
 	client, err := pool.transport.NewClientConn(context.WithValue(ctx, rawKey{}, raw), "http", pool.address)
 	if err != nil {
 		return nil, err
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -239,14 +239,15 @@
 	if err != nil {
 		change.Findings = append(change.Findings, err)
 	}
-	differs := held.item.Removed || valid != held.valid || registration != held.registration
-	if held.registration.Cold > 0 && registration.Cold > 0 {
-		cold := held.registration
-		cold.Cold = registration.Cold
-		differs = held.item.Removed || valid != held.valid || registration != cold
+	if valid && held.outdates(&registration) {
+		return
 	}
+	differs := held.item.Removed || valid != held.valid || !sameState(held.registration, registration)
 	held.item = item
-	held.registration, held.valid = registration, valid
+	held.valid = valid
+	if valid {
+		held.registration = registration
+	}
 	held.removeAt = 0
 	if differs {
 		held.changed = item.Revision
@@ -272,6 +273,34 @@
 	change.Searchers = true
 }
 
+// restartSequence is the highest sequence number that counts as a restart where searchers do not state their start.
+const restartSequence = 2
+
+// outdates reports whether a heartbeat was sent before the one held: it may be written late, even after the entry was removed.
+func (held *entry) outdates(other *carobthread.Registration) bool {
+	known := &held.registration
+	switch {
+	case known.ID == "" || known.Born < other.Born:
+		return false
+	case known.Born > other.Born:
+		return true
+	case known.Born == 0 && other.Sequence <= restartSequence:
+		return false
+	case held.item.Removed || held.removeAt != 0:
+		return other.Sequence <= known.Sequence
+	}
+	return other.Sequence < known.Sequence
+}
+
+// sameState reports whether two heartbeats of a searcher differ in nothing but their number and the rest of a cold start.
+func sameState(left, right carobthread.Registration) bool {
+	left.Sequence, right.Sequence = 0, 0
+	if left.Cold > 0 && right.Cold > 0 {
+		left.Cold = right.Cold
+	}
+	return left == right
+}
+
 func (held *entry) drop(now carobthread.Instant) {
 	held.item.Removed = true
 	held.item.Content = nil
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -17,7 +17,7 @@
 // TestScripts runs the scripts in testdata on two followers, a and b; each case names the failure that it guards against.
 //
 // A line of input is an item: "KEY REVISION VALUE", where the value "-" is a tombstone, "vN" a routing table of that
-// version, "ready" or "draining" an entry in that state, and anything else the content as it stands.
+// version, "ready" or "draining" an entry in that state, which may be followed by "sequence=N born=N", and anything else the content as it stands.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		run := &script{now: carobthread.Instant(time.Hour)}
@@ -89,14 +89,26 @@
 			item.Content, item.Removed = nil, true
 		case isTable:
 			item.Content = []byte(`{"version":` + version + `}`)
-		case fields[2] == "ready", fields[2] == "draining":
-			item.Content = fmt.Appendf(nil, `{"service":"one","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":%q,"coldLeftMs":0,"sequence":%d}`, fields[2], revision)
+		case strings.HasPrefix(fields[2], "ready"), strings.HasPrefix(fields[2], "draining"):
+			item.Content = heartbeat(fields[2], revision)
 		}
 		found = append(found, item)
 	}
 	return found
 }
 
+// heartbeat writes "STATE sequence=N born=N"; without them, the sequence is the revision and the start is not stated.
+func heartbeat(text string, revision uint64) []byte {
+	state, rest, _ := strings.Cut(text, " ")
+	sequence, born := revision, uint64(0)
+	_, _ = fmt.Sscanf(rest, "sequence=%d born=%d", &sequence, &born)
+	content := fmt.Sprintf(`{"service":"one","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"coldLeftMs":0,"state":%q,"sequence":%d`, state, sequence)
+	if born != 0 {
+		content += fmt.Sprintf(`,"born":%d`, born)
+	}
+	return []byte(content + "}")
+}
+
 func state(host *follower.Follower, change follower.Change) string {
 	output := strings.Builder{}
 	digest := host.Digest()
--- a/site.go
+++ b/site.go
@@ -60,9 +60,11 @@
 
 // Registration is what a searcher says of itself in the platform's store.
 type Registration struct {
-	// ID is unique to one start of the searcher, together with Born.
-	ID         string
-	Born       int64
+	// ID is unique to one start of the searcher, together with Born, its start in Unix milliseconds or 0 if not stated.
+	ID   string
+	Born int64
+	// Sequence counts the searcher's heartbeats since its start.
+	Sequence   int64
 	Group      string
 	Address    string
 	DataCentre string
