--- a/caller/pool.go
+++ b/caller/pool.go
@@ -46,8 +46,8 @@
 	address   string
 	transport *http.Transport
 	// plain dials connections for a wire in place of the transport, or is nil.
-	plain *net.Dialer
-	shared    bool // a connection carries several repeatable requests at once
+	plain  *net.Dialer
+	shared bool // a connection carries several repeatable requests at once
 
 	mutex    sync.Mutex
 	limit    int
