--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -47,6 +47,8 @@
 	heldAge = 5 * time.Second
 	// latencyAge is how long a replica's latency estimate counts.
 	latencyAge = 5 * time.Second
+	// localBias is how many times the cost of a remote replica a local one may have.
+	localBias = 2
 	// costTie is the ratio of costs within which two replicas count as equal.
 	costTie = 1.1
 )
@@ -78,15 +80,39 @@
 	if best > classEjected || best == classSaturated {
 		return -1, best
 	}
+	index := gatherer.pick(row, best, count)
+	if best == classLocal {
+		return gatherer.preferLocal(row, index)
+	}
+	return index, best
+}
+
+// preferLocal returns the local replica, or the cheapest remote one if that is cheaper by far, so that a slow
+// searcher does not keep the load of its data centre.
+func (gatherer *Gatherer) preferLocal(row *shardRow, local int) (int, class) {
+	remote := -1
+	for i, found := range gatherer.classes {
+		if found == classRemote && (remote < 0 || gatherer.cost(row.replicas[i].row) < gatherer.cost(row.replicas[remote].row)) {
+			remote = i
+		}
+	}
+	if remote < 0 || gatherer.cost(row.replicas[local].row) <= localBias*gatherer.cost(row.replicas[remote].row) {
+		return local, classLocal
+	}
+	return remote, classRemote
+}
+
+// pick returns the cheaper of two random replicas of a class with that many.
+func (gatherer *Gatherer) pick(row *shardRow, best class, count int) int {
 	if count == 1 {
-		return slices.Index(gatherer.classes, best), best
+		return slices.Index(gatherer.classes, best)
 	}
 	first := gatherer.random.IntN(count)
 	second := gatherer.random.IntN(count - 1)
 	if second >= first {
 		second++
 	}
-	return gatherer.cheaper(row, gatherer.nth(best, first), gatherer.nth(best, second)), best
+	return gatherer.cheaper(row, gatherer.nth(best, first), gatherer.nth(best, second))
 }
 
 // nth returns the index of the replica that is the nth of its class.
