Let one host read the store for the fleet and collect garbage sooner

Ruled out: fewer watches for all (the bound on draining needs news within 3 s on every host). Change: the first host of the first data centre reads each fifth of the freshness asked for, the first of each other one when its knowledge is two fifths old, any other one at 0.55 to 0.75; hosts ask the reader of their data centre an eighth apart. A starting host waits for its peers first. The heap may grow by three quarters instead of four times.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -73,6 +73,23 @@
 	return nil
 }
 
+// First returns the first reader of the data centre.
+func (assigner *Assigner) First(centre string) (string, bool) {
+	readers := assigner.Readers(centre)
+	if len(readers) == 0 {
+		return "", false
+	}
+	return readers[0], true
+}
+
+// Lead returns the first reader of the first data centre, for fleets in which one host reads for all.
+func (assigner *Assigner) Lead() (string, bool) {
+	if len(assigner.centres) == 0 {
+		return "", false
+	}
+	return assigner.First(assigner.centres[0].Name)
+}
+
 // Links returns the other data centres, beginning after the given one in order of name, with their readers.
 func (assigner *Assigner) Links(centre string) []Centre {
 	var before, after []Centre
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -44,6 +44,7 @@
 			MaxKeyBytes:    64 * megabyte,
 			KeyExpiry:      10 * time.Minute,
 		},
+		Store:   carobthread.StoreSettings{Freshness: 3 * time.Second},
 		Forward: carobthread.ForwardSettings{RetryRatio: 0.2, RetryWindow: 10 * time.Second},
 		Stop:    carobthread.StopSettings{Grace: 3 * time.Second, Limit: 30 * time.Second},
 		Log:     carobthread.LogSettings{Level: "info"},
@@ -91,7 +92,10 @@
 			required("operator-address", listenAddress(&host.OperatorAddress)),
 		},
 		"platform": {required("address", address(&settings.Platform.Address))},
-		"store":    {required("address", address(&settings.Store.Address))},
+		"store": {
+			required("address", address(&settings.Store.Address)),
+			optional("freshness", duration(&settings.Store.Freshness, 500*time.Millisecond, time.Minute)),
+		},
 		"forward": {
 			optional("ready-address", listenAddress(&forward.ReadyAddress)),
 			optional("retry-ratio", share(&forward.RetryRatio, 0, maxRetryRatio)),
--- a/runner/front.go
+++ b/runner/front.go
@@ -46,8 +46,8 @@
 	idleTimeout = 2 * time.Minute
 	// memoryShare is the part of the process's memory at which the garbage collector works harder.
 	memoryShare = 0.7
-	// garbagePercent trades memory for processor time: the live heap is a few megabytes.
-	garbagePercent = 400
+	// garbagePercent keeps the heap near its live size of a few megabytes; collections cost little beside requests.
+	garbagePercent = 75
 )
 
 // Front is an entry host that forwards plain HTTP requests by the platform's store.
@@ -190,6 +190,7 @@
 		Store:    host.store,
 		Logger:   host.logger,
 		Seed:     host.options.Seed,
+		Pace:     server.PaceFor(host.settings.Store.Freshness),
 		Changed:  host.changed,
 		Viewed:   host.viewed,
 	})
--- a/server/directory.go
+++ b/server/directory.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"carobthread"
+	"carobthread/assigner"
 	"carobthread/follower"
 	"carobthread/timer"
 	"carobthread/tracker"
@@ -20,19 +21,56 @@
 const MethodFollow = "follow"
 
 const (
-	// readPace is the time between two reads of the store, which gathers the searchers' heartbeats of that time into one answer.
-	readPace = 500 * time.Millisecond
 	// watchWait bounds one watch, so that a lost answer or a silent connection is noticed well within the time for a change.
 	watchWait = 800 * time.Millisecond
-	// readRetry is the time to the next read after a failed one.
-	readRetry = 300 * time.Millisecond
-	// followPeriod is the time between two exchanges with peers, startPeriod that until the first routing table is known.
-	followPeriod = time.Second
-	startPeriod  = 200 * time.Millisecond
+	// startPeriod is the time between two exchanges until the first routing table is known.
+	startPeriod = 200 * time.Millisecond
+	// leastPatience and patienceSpread are how long a starting host waits for its peers before it lists the whole store:
+	// of hosts that start together, the first one to read tells the others.
+	leastPatience  = 150 * time.Millisecond
+	patienceSpread = 1200 * time.Millisecond
 	// followTimeout bounds one exchange.
 	followTimeout = time.Second
+	// contactEvery is the mean number of exchanges with random hosts to one with a contact of the settings, so that two halves of a fleet
+	// that know nothing of each other meet.
+	contactEvery = 8
+	// randomEvery is the number of exchanges to one with a random host.
+	randomEvery = 4
 )
 
+// Pace states when a host reads the store and asks its peers.
+//
+// One host of the fleet reads the store; the others hear of it from peers, and
+// read for themselves when that has taken too long. Each price and time stands
+// for one way in which the reader may fail: it is frozen, cut off or refused.
+type Pace struct {
+	// Lead is the time between two reads of the fleet's reader, which gathers the heartbeats of that time into one answer.
+	Lead time.Duration
+	// Centre and Other are the ages of the own knowledge at which the first host of a data centre and any other one read.
+	Centre time.Duration
+	Other  time.Duration
+	// Spread is the range over which the other hosts' reads are spread.
+	Spread time.Duration
+	// Follow is the time between two exchanges with peers.
+	Follow time.Duration
+	// Retry and OtherRetry are the times between reads while the store does not answer.
+	Retry      time.Duration
+	OtherRetry time.Duration
+}
+
+// PaceFor returns the pace that keeps knowledge younger than the given age while the store answers anyone.
+func PaceFor(freshness time.Duration) Pace {
+	return Pace{
+		Lead:       freshness / 5,
+		Centre:     freshness * 2 / 5,
+		Other:      freshness * 11 / 20,
+		Spread:     freshness / 5,
+		Follow:     freshness / 8,
+		Retry:      min(400*time.Millisecond, freshness/6),
+		OtherRetry: freshness / 2,
+	}
+}
+
 // DirectoryOptions are the parts that a Directory works with.
 type DirectoryOptions struct {
 	Self carobthread.Host
@@ -45,6 +83,7 @@
 	Store    carobthread.Store
 	Logger   zerolog.Logger
 	Seed     uint64
+	Pace     Pace
 	// Changed is called, in order, with each change of the routing table or the searchers once a table is known.
 	Changed func(table carobthread.RoutingTable, entries []carobthread.Registration)
 	// Viewed is called with each new view of the entry hosts.
@@ -58,7 +97,18 @@
 	mutex   sync.Mutex
 	random  *rand.Rand
 	reached bool
-	stats   DirectoryStats
+	// firstRead is when this host reads for itself if no peer has told it anything.
+	firstRead carobthread.Instant
+	// triedAt is the end of the last read.
+	triedAt carobthread.Instant
+	// freshAt is the time up to which everything in the store is known; 0 before the first list.
+	freshAt carobthread.Instant
+	// turn counts the exchanges.
+	turn int
+	// roles are the readers by the present view, spread is this host's place in the range of the others' reads.
+	roles  *assigner.Assigner
+	spread time.Duration
+	stats  DirectoryStats
 }
 
 // DirectoryStats counts the calls of a Directory.
@@ -81,14 +131,22 @@
 	Digest follower.Digest `json:"digest"`
 	// Join asks for the whole membership.
 	Join bool `json:"join,omitempty"`
-	// Delta is set in an answer.
-	Delta *follower.Delta `json:"delta,omitempty"`
+	// Delta and AgeMicros, the age of what the answering host knows, are set in an answer.
+	Delta     *follower.Delta `json:"delta,omitempty"`
+	AgeMicros int64           `json:"age-us,omitempty"`
 }
 
 // NewDirectory returns a Directory that works once Run is called.
 func NewDirectory(options DirectoryOptions) *Directory {
 	options.Tracker.WholeFleet()
-	return &Directory{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
+	directory := &Directory{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
+	directory.spread = time.Duration(directory.random.Int64N(int64(options.Pace.Spread) + 1))
+	directory.roles = assigner.New(options.Tracker.View())
+	directory.firstRead = options.Timer.Now()
+	if len(options.Contacts) > 0 {
+		directory.firstRead = directory.firstRead.Add(leastPatience + time.Duration(directory.random.Int64N(int64(patienceSpread))))
+	}
+	return directory
 }
 
 // Run reads the store and talks to peers until the context ends.
@@ -135,27 +193,70 @@
 	return stats
 }
 
-// readStore lists the store once and then follows its changes; it lists again when the history is gone.
+// role is a host's part in reading the store.
+type role int
+
+const (
+	roleLead role = iota
+	roleCentre
+	roleOther
+)
+
+// roleLocked returns the own role by the present view; two views merely mean one reader too many for a while.
+func (directory *Directory) roleLocked() role {
+	self := &directory.options.Self
+	if reader, found := directory.roles.First(self.DataCentre); !found || reader != self.Name {
+		return roleOther
+	}
+	if lead, _ := directory.roles.Lead(); lead != self.Name {
+		return roleCentre
+	}
+	return roleLead
+}
+
+// readStore lists the store once and then follows its changes whenever the own knowledge is old; it lists again when the
+// history is gone.
 func (directory *Directory) readStore(ctx context.Context) {
-	listed := false
+	listed, failed := false, false
 	for ctx.Err() == nil {
+		if wait := directory.untilRead(failed); wait > 0 {
+			timer.Pause(ctx, directory.options.Timer, wait)
+			continue
+		}
 		started := directory.options.Timer.Now()
 		err := directory.read(ctx, listed)
 		if ctx.Err() != nil {
 			return
 		}
-		pace := readPace
-		if err != nil {
-			pace = readRetry
-		}
 		var failure *carobthread.StoreError
+		failed = err != nil
 		listed = err == nil || listed && (!errors.As(err, &failure) || !failure.HistoryGone)
-		directory.reachable(err)
-		directory.expire()
-		timer.Pause(ctx, directory.options.Timer, pace-directory.options.Timer.Now().Sub(started))
+		directory.reachable(err, started)
 	}
 }
 
+// untilRead returns how long the own knowledge may still grow older before the next read.
+func (directory *Directory) untilRead(failed bool) time.Duration {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	now, pace := directory.options.Timer.Now(), &directory.options.Pace
+	if directory.freshAt == 0 && !failed {
+		return directory.firstRead.Sub(now)
+	}
+	own := directory.roleLocked()
+	bound := [...]time.Duration{roleLead: pace.Lead, roleCentre: pace.Centre, roleOther: pace.Other + directory.spread}[own]
+	wait := directory.freshAt.Add(bound).Sub(now)
+	if failed {
+		retry := pace.Retry
+		if own == roleOther && directory.freshAt != 0 {
+			retry = pace.OtherRetry
+		}
+		retry = retry/2 + time.Duration(directory.random.Int64N(int64(retry)))
+		wait = max(wait, directory.triedAt.Add(retry).Sub(now))
+	}
+	return wait
+}
+
 func (directory *Directory) read(ctx context.Context, listed bool) error {
 	if !listed {
 		return directory.list(ctx)
@@ -199,13 +300,16 @@
 }
 
 // reachable notes the end of a call to the store and logs when the store is lost or regained.
-func (directory *Directory) reachable(err error) {
+func (directory *Directory) reachable(err error, started carobthread.Instant) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.stats.Reads++
+	directory.triedAt = directory.options.Timer.Now()
 	if err != nil {
 		directory.stats.ReadsFailed++
-		directory.options.Follower.Failed(directory.options.Timer.Now())
+		directory.options.Follower.Failed(directory.triedAt)
+	} else {
+		directory.freshAt = max(directory.freshAt, started)
 	}
 	if directory.reached == (err == nil) {
 		return
@@ -243,14 +347,15 @@
 	}
 }
 
-// meetPeers exchanges with one peer after the other.
+// meetPeers exchanges with one peer after the other and lets held removals of searchers take effect.
 func (directory *Directory) meetPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		directory.exchange(ctx)
+		directory.expire()
 		directory.mutex.Lock()
-		period := followPeriod
+		period := directory.options.Pace.Follow
 		if directory.options.Follower.Digest().Version == 0 {
-			period = startPeriod
+			period = min(period, startPeriod)
 		}
 		period = period/2 + time.Duration(directory.random.Int64N(int64(period)))
 		directory.trackLocked(tracker.Event{Tick: &carobthread.Ticked{}})
@@ -260,8 +365,9 @@
 }
 
 func (directory *Directory) exchange(ctx context.Context) {
+	started := directory.options.Timer.Now()
 	directory.mutex.Lock()
-	peer, join := directory.nextPeer()
+	peer, join := directory.nextPeer(started)
 	request := followMessage{
 		Gossip: directory.options.Tracker.Gossip(peer, tracker.Near),
 		Digest: directory.options.Follower.Digest(),
@@ -285,22 +391,43 @@
 	}
 	directory.trackLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Audience: tracker.Near, Gossip: answer.Gossip}})
 	directory.mutex.Unlock()
-	if answer.Delta != nil {
-		directory.take(func(now carobthread.Instant) follower.Change {
-			return directory.options.Follower.Merged(now, peer, *answer.Delta)
-		})
+	if answer.Delta == nil {
+		return
 	}
+	directory.take(func(now carobthread.Instant) follower.Change {
+		if answer.AgeMicros > 0 {
+			age := time.Duration(answer.AgeMicros) * time.Microsecond
+			directory.freshAt = max(directory.freshAt, started.Add(-age))
+		}
+		return directory.options.Follower.Merged(now, peer, *answer.Delta)
+	})
 }
 
-// nextPeer returns a known host, or an address of the settings while none is known and once in a while later,
-// so that two halves of a fleet that know nothing of each other meet.
-func (directory *Directory) nextPeer() (peer string, join bool) {
-	const contactEvery = 8
+// nextPeer returns the host that most likely knows the latest, a random one, or an address of the settings.
+func (directory *Directory) nextPeer(now carobthread.Instant) (peer string, join bool) {
 	contacts := directory.options.Contacts
 	peer = directory.options.Tracker.NextPeer()
-	if len(contacts) > 0 && (peer == "" || directory.random.IntN(contactEvery) == 0) {
+	if len(contacts) > 0 && (peer == "" || directory.random.IntN(contactEvery*randomEvery) == 0) {
 		return contacts[directory.random.IntN(len(contacts))], true
 	}
+	// While the readers' news come in time, they are asked; some exchanges go to a random host, which spreads the
+	// membership and the news that a reader has not.
+	directory.turn++
+	age := now.Sub(directory.freshAt)
+	if directory.turn%randomEvery == 0 || age > directory.options.Pace.Other+directory.options.Pace.Spread {
+		return peer, false
+	}
+	reader, found := "", false
+	switch directory.roleLocked() {
+	case roleOther:
+		reader, found = directory.roles.First(directory.options.Self.DataCentre)
+	case roleCentre:
+		reader, found = directory.roles.Lead()
+	case roleLead:
+	}
+	if found {
+		return reader, false
+	}
 	return peer, false
 }
 
@@ -318,6 +445,9 @@
 	directory.trackLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Audience: tracker.Near, Gossip: request.Gossip}})
 	delta := directory.options.Follower.Missing(request.Digest)
 	answer := followMessage{Delta: &delta, Digest: delta.Digest}
+	if directory.freshAt != 0 {
+		answer.AgeMicros = max(1, directory.options.Timer.Now().Sub(directory.freshAt).Microseconds())
+	}
 	if request.Join {
 		snapshot := directory.options.Tracker.Snapshot()
 		answer.Gossip = tracker.Gossip{Records: snapshot.Records}
@@ -330,6 +460,8 @@
 func (directory *Directory) trackLocked(event tracker.Event) {
 	event.At = directory.options.Timer.Now()
 	if directory.options.Tracker.Step(event).View {
-		directory.options.Viewed(directory.options.Tracker.View())
+		view := directory.options.Tracker.View()
+		directory.roles = assigner.New(view)
+		directory.options.Viewed(view)
 	}
 }
--- a/settings.go
+++ b/settings.go
@@ -40,6 +40,9 @@
 type StoreSettings struct {
 	// Address is the key address, where the platform's store answers HTTP.
 	Address string
+	// Freshness is the key freshness: the age that what a host knows of the store should not reach while the store
+	// answers, default 3s, 500ms to 1m; reads and exchanges are paced by it.
+	Freshness time.Duration
 }
 
 // ForwardSettings is section [forward], which is optional and concerns plain HTTP requests.
