Count one pause of a searcher as one bad outcome, hedge from the start

Cause: a searcher pauses for 200 ms now and then; the attempts that it held up counted as three bad outcomes in a row and ejected it for a second or more. After a restart no attempt was hedged: no latency was known and the retry budget was empty. Change: an attempt sent before the last bad outcome does not count again; a third of the slack counts from the start, two thirds after one window; until latencies are known, an attempt counts as late after a third of the time to an answer. Incomplete answers go out 15 ms before the target instead of at 85% of it; starting hosts wait for peers 50 to 450 ms instead of 150 to 1350.

--- a/config.go
+++ b/config.go
@@ -40,6 +40,8 @@
 	Layout         uint32        `json:"layout"`
 	// MaxAttempts bounds the searchers that a query is sent to for each shard; 0 takes the bound of the core.
 	MaxAttempts int `json:"max-attempts,omitempty"`
+	// HedgeDelay is when an attempt counts as late until enough latencies are known; 0 waits for them.
+	HedgeDelay time.Duration `json:"hedge-delay,omitempty"`
 	// Rank orders the services whose attempts wait for the same slots; 0 goes first.
 	Rank int `json:"rank,omitempty"`
 	// Once is set if a request may run at most once: an attempt that may have run is not followed by another.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,7 +21,7 @@
 
 const (
 	// startRetry is when a caller may come again while no routing table is known.
-	startRetry = 500 * time.Millisecond
+	startRetry = 200 * time.Millisecond
 	// minRetry bounds Retry-After from below, since an immediate retry meets the same state.
 	minRetry = 20 * time.Millisecond
 )
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -238,7 +238,14 @@
 	if attempt.sentAt >= gatherer.resumedAt {
 		searcher.centre.miss(gatherer.now)
 	}
-	if attempt.sentAt < gatherer.resumedAt || gatherer.now < searcher.ejection.Until() || !searcher.ejection.Bad() {
+	if attempt.sentAt < gatherer.resumedAt || gatherer.now < searcher.ejection.Until() {
+		return
+	}
+	if attempt.sentAt < searcher.badAt {
+		return // sent before the last bad outcome, such as all attempts that one pause of the searcher holds up
+	}
+	searcher.badAt = gatherer.now
+	if !searcher.ejection.Bad() {
 		return
 	}
 	capped := !gatherer.mayEject(searcher)
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -122,6 +122,8 @@
 	// repliedAt is the last reply; stalledUntil is set while late attempts show that the searcher answers nothing.
 	repliedAt    carobthread.Instant
 	stalledUntil carobthread.Instant
+	// badAt is the last bad outcome that counted towards an ejection.
+	badAt carobthread.Instant
 
 	held []uint64
 	// heldAt is when the held snapshots were last stated, statedAt when a reply stated them.
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -12,10 +12,13 @@
 // ratioMargin is the part of the ratio that is used, since the requests of a sliding window differ from those counted here.
 const ratioMargin = 0.9
 
+// firstShare is the part of the slack that a run may use in its first span; the rest is left to later ones.
+const firstShare = 1.0 / 3
+
 // Window bounds the extra attempts within any sliding span by a ratio of the requests in that span and a slack.
 //
-// The slack counts only after one whole span, since an earlier run of this
-// process may have used it just before it ended.
+// In the first span only a third of the slack counts, since earlier runs of this
+// process may have used it just before they ended.
 type Window struct {
 	ratio   float64
 	slack   float64
@@ -79,7 +82,9 @@
 	}
 	permitted := window.ratio * float64(requests)
 	if now.Sub(window.started) >= window.span {
-		permitted += window.slack
+		permitted += window.slack * (1 - firstShare)
+	} else {
+		permitted += window.slack * firstShare
 	}
 	return permitted - float64(extras)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -9,10 +9,14 @@
 )
 
 const (
-	// targetShare is the part of a route's target after which an incomplete answer goes out; the rest is for the way to the caller.
-	targetShare = 0.85
+	// answerMargin is how long before a route's target an incomplete answer goes out: the target counts from the caller's
+	// first packet, and a new connection takes a round trip before the request. marginShare bounds it for short targets.
+	answerMargin = 15 * time.Millisecond
+	marginShare  = 0.25
 	// hedgeQuantile lets one attempt in ten be hedged, well within a retry ratio of a fifth.
 	hedgeQuantile = 0.9
+	// hedgeShare is the part of the time to an answer after which attempts are hedged while no latencies are known.
+	hedgeShare = 3
 )
 
 // ServiceName returns the name of the service that serves a route with one replica group, or with all shards for an empty group.
@@ -79,11 +83,12 @@
 		Name:          name,
 		Kind:          carobthread.KindSearch,
 		Preference:    carobthread.LatencyFirst,
-		SoftDeadline:  time.Duration(targetShare * float64(route.Target)),
+		SoftDeadline:  softDeadline(route.Target),
 		HardDeadline:  route.Timeout,
 		CoverageFloor: floor(route),
 		FloorRequired: true,
 		HedgeQuantile: hedgeQuantile,
+		HedgeDelay:    softDeadline(route.Target) / hedgeShare,
 		Layout:        generation,
 		MaxAttempts:   max(1, route.MaxAttempts),
 		Rank:          route.Rank,
@@ -96,6 +101,11 @@
 	config.Layouts = append(config.Layouts, layout)
 }
 
+// softDeadline returns when an incomplete answer goes out.
+func softDeadline(target time.Duration) time.Duration {
+	return target - min(answerMargin, time.Duration(marginShare*float64(target)))
+}
+
 // floor returns the share of shards that makes an answer a success; a request for one replica group needs that one.
 func floor(route *carobthread.Route) float64 {
 	if len(route.Shards) == 0 {
--- a/server/directory.go
+++ b/server/directory.go
@@ -27,8 +27,8 @@
 	startPeriod = 200 * time.Millisecond
 	// leastPatience and patienceSpread are how long a starting host waits for its peers before it lists the whole store:
 	// of hosts that start together, the first one to read tells the others.
-	leastPatience  = 150 * time.Millisecond
-	patienceSpread = 1200 * time.Millisecond
+	leastPatience  = 50 * time.Millisecond
+	patienceSpread = 400 * time.Millisecond
 	// followTimeout bounds one exchange.
 	followTimeout = time.Second
 	// contactEvery is the mean number of exchanges with random hosts to one with a contact of the settings, so that two halves of a fleet
