Count the searchers that a query has reached, and what their failures cost

Change: attempts bounds the searchers reached, not the sends to them; the share of an searcher's failed and refused attempts of the last 2 s raises its cost; an attempt that reached nobody costs neither budget nor a searcher.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -69,6 +69,8 @@
 	state.flying++
 	state.sent++
 	state.tried |= replicaBit(index)
+	state.reached |= replicaBit(index)
+	state.unpaid = false
 	state.checkAt = 0
 	if delay := cmp.Or(service.latency.hedge, service.config.HedgeDelay); delay > 0 && gatherer.inForce() {
 		if state.flying > 1 && service.latency.median > 0 {
@@ -127,7 +129,7 @@
 	service := query.service
 	state.checkAt = 0
 	gatherer.noteStalls(state)
-	if state.flying >= maxFlights || state.sent >= service.maxAttempts() || service.config.Once {
+	if state.flying >= maxFlights || state.sent >= maxAttempts || state.full(service) || service.config.Once {
 		return
 	}
 	if gatherer.now.Add(service.latency.fast) >= query.deadline {
@@ -171,14 +173,14 @@
 		gatherer.recoverBaseline(query, shard)
 		return
 	}
-	if gatherer.now >= query.deadline || state.sent >= query.service.maxAttempts() || query.service.config.Once && query.unproven > 0 {
+	if gatherer.now >= query.deadline || state.sent >= maxAttempts || query.service.config.Once && query.unproven > 0 {
 		gatherer.closeShard(query, shard, carobthread.ReasonTimeout)
 		return
 	}
 	index, found := gatherer.choose(query, shard)
 	switch {
 	case index >= 0 || found == classSaturated:
-		if !gatherer.pay(query, shard, carobthread.AttemptRetry) {
+		if !state.unpaid && !gatherer.pay(query, shard, carobthread.AttemptRetry) {
 			gatherer.stats.BudgetRefused++
 			gatherer.checkLater(query, state, gatherer.payAgain(query, shard))
 			return
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -49,6 +49,11 @@
 	latencyAge = 5 * time.Second
 	// localBias is how many times the cost of a remote replica a local one may have.
 	localBias = 2
+	// failureAge is how long a searcher's failures count after the last attempt at it.
+	failureAge = 2 * time.Second
+	// failureCost is the time that a failed attempt adds, in latencies: it is noticed, another searcher is asked, and the
+	// budget for that is spent.
+	failureCost = 5
 	// costTie is the ratio of costs within which two replicas count as equal.
 	costTie = 1.1
 )
@@ -141,6 +146,8 @@
 		return classLacksSnapshot
 	case query.current.shards[shard].tried&replicaBit(index) != 0:
 		return classTried
+	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].full(query.service):
+		return classTried
 	case !replica.row.free():
 		return classSaturated
 	case searcher.ejection.Ejected(gatherer.now):
@@ -217,12 +224,13 @@
 	return first
 }
 
-// cost is the latency estimate multiplied by the load relative to the limit.
+// cost is the latency estimate, with the time that a failure is likely to add, multiplied by the load relative to the limit.
 func (gatherer *Gatherer) cost(replica *replicaRow) float64 {
 	latency := replica.latency
 	if replica.seenAt < gatherer.resumedAt || replica.seenAt == 0 || gatherer.now.Sub(replica.seenAt) > latencyAge {
 		latency = float64(max(time.Millisecond, replica.service.latency.median))
 	}
+	latency *= 1 + failureCost*replica.searcher.failureShare(gatherer.now)
 	limit := &replica.searcher.limit
 	return latency * float64(limit.Running()+1) / float64(limit.Limit())
 }
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -48,8 +48,8 @@
 	if reply.Status.NotRun() {
 		query.unproven--
 	}
-	if reply.Status == carobthread.ReplyNotSent && state.sent > 0 {
-		state.sent-- // no searcher was reached
+	if reply.Status == carobthread.ReplyNotSent {
+		gatherer.unreached(attempt, state)
 	}
 	shard, index, unbound := attempt.shard, attempt.index, attempt.unbound
 	gatherer.release(attempt)
@@ -152,6 +152,7 @@
 		searcher.centre.reply()
 		searcher.replied(gatherer.now)
 	}
+	searcher.failed(gatherer.now, reply.Status != carobthread.ReplyOK)
 	switch reply.Status {
 	case carobthread.ReplyOK:
 		searcher.limit.Succeed()
@@ -171,6 +172,16 @@
 	}
 }
 
+// unreached takes back what an attempt that has reached nobody was counted as.
+func (gatherer *Gatherer) unreached(attempt *attemptRow, state *shardState) {
+	state.sent--
+	state.reached &^= replicaBit(attempt.index)
+	if attempt.kind != carobthread.AttemptFirst && attempt.query.current.layout.shards[attempt.shard].group != nil {
+		gatherer.refund(attempt.query, attempt.shard)
+	}
+	state.unpaid = attempt.kind == carobthread.AttemptFirst && attempt.query.current.layout.shards[attempt.shard].group != nil
+}
+
 // replied notes an answer of the searcher, which ends a stall.
 func (searcher *searcherRow) replied(now carobthread.Instant) {
 	searcher.repliedAt = now
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -129,6 +129,17 @@
 	first := config.Layouts[0].Shards
 	second := carobthread.Layout{Service: "matching", Generation: 2, Shards: append(slices.Clone(first), first[0])}
 	config.Layouts = append(config.Layouts, second)
+	config.Services[0].MaxAttempts = run.number(data, "attempts", 0)
+	config.Services[0].Once = data.HasArg("once")
+	if data.HasArg("groups") { // each shard's replicas have a retry budget, and three quarters of the shards are required
+		config.RetryBudget = carobthread.RetryBudget{Ratio: 0.2, Slack: 30, Window: 10 * time.Second}
+		config.Services[0].CoverageFloor, config.Services[0].FloorRequired = 0.75, true
+		for i := range config.Layouts {
+			for shard := range config.Layouts[i].Shards {
+				config.Layouts[i].Groups = append(config.Layouts[i].Groups, fmt.Sprintf("group-%d", shard))
+			}
+		}
+	}
 	return withoutSearcher(config, run.text(data, "drop", ""))
 }
 
@@ -214,7 +225,11 @@
 			fmt.Fprintf(&output, "cancel %d\n", action.Cancel.Attempt)
 		case action.Answer != nil:
 			answer := action.Answer
-			fmt.Fprintf(&output, "answer query %d: %d/%d snapshot %d layout %d merge %v missing %v\n", answer.Query, answer.Coverage.Answered, answer.Coverage.Total, answer.Snapshot, answer.Layout, answer.Merge, answer.Coverage.Missing)
+			fmt.Fprintf(&output, "answer query %d: %d/%d snapshot %d layout %d merge %v missing %v", answer.Query, answer.Coverage.Answered, answer.Coverage.Total, answer.Snapshot, answer.Layout, answer.Merge, answer.Coverage.Missing)
+			if answer.Failed {
+				fmt.Fprintf(&output, " failed not-run %v", answer.NotRun)
+			}
+			output.WriteString("\n")
 		case action.Refuse != nil:
 			fmt.Fprintf(&output, "refuse query %d: %s retry after %d us\n", action.Refuse.Query, action.Refuse.Reason, action.Refuse.RetryAfterMicros)
 		case action.Connect != nil:
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -26,9 +27,12 @@
 	sent    uint8
 	waiting bool
 	closed  bool
-	// tried has a bit for each replica that an attempt was sent to.
-	tried uint64
-	reply carobthread.AttemptID
+	// tried has a bit for each replica that the present round of attempts was sent to, reached for every one that any was.
+	tried   uint64
+	reached uint64
+	// unpaid is set after an attempt that reached nobody, whose successor is no extra load.
+	unpaid bool
+	reply  carobthread.AttemptID
 	// checkAt is when to hedge or retry, or 0.
 	checkAt carobthread.Instant
 	reason  carobthread.Reason
@@ -119,6 +123,9 @@
 	draining  bool
 	drainedAt carobthread.Instant
 
+	// failing is the moving share of attempts that the searcher failed or refused, failingAt its last sample.
+	failing   float64
+	failingAt carobthread.Instant
 	// repliedAt is the last reply; stalledUntil is set while late attempts show that the searcher answers nothing.
 	repliedAt    carobthread.Instant
 	stalledUntil carobthread.Instant
@@ -209,14 +216,19 @@
 	return float64(candidate.answered) >= service.config.CoverageFloor*float64(len(candidate.shards))-rounding
 }
 
-// maxAttempts returns how many searchers a query may be sent to for each shard.
-func (service *serviceRow) maxAttempts() uint8 {
+// maxSearchers returns how many searchers a query may be sent to for each shard.
+func (service *serviceRow) maxSearchers() int {
 	if bound := service.config.MaxAttempts; bound > 0 {
-		return uint8(min(bound, maxAttempts))
+		return bound
 	}
 	return maxAttempts
 }
 
+// full reports whether the shard's attempts have reached as many searchers as they may.
+func (state *shardState) full(service *serviceRow) bool {
+	return bits.OnesCount64(state.reached) >= service.maxSearchers()
+}
+
 // floorLost reports whether a required floor can no longer be met.
 func (service *serviceRow) floorLost(query *queryRow) bool {
 	if !service.config.FloorRequired {
@@ -246,6 +258,25 @@
 	replica.seenAt = now
 }
 
+// failed notes whether an attempt was failed or refused.
+func (searcher *searcherRow) failed(now carobthread.Instant, outcome bool) {
+	const weight = 0.1
+	searcher.failing, searcher.failingAt = searcher.failureShare(now), now
+	sample := 0.0
+	if outcome {
+		sample = 1
+	}
+	searcher.failing += weight * (sample - searcher.failing)
+}
+
+// failureShare returns the share of failures, or none if the searcher has not been tried lately.
+func (searcher *searcherRow) failureShare(now carobthread.Instant) float64 {
+	if now.Sub(searcher.failingAt) > failureAge {
+		return 0
+	}
+	return searcher.failing
+}
+
 // hold replaces the held snapshots and reports whether they differ.
 func (searcher *searcherRow) hold(now carobthread.Instant, held []uint64) bool {
 	searcher.heldAt = now
