Serve what can come in time first, end attempts at busy searchers at once

Cause: under a load that a shard cannot carry, the oldest waiting attempts took each slot and came too late one after the other; attempts that had lost went on for 250 ms at searchers with a queue and took slots from others. Ruled out by switching off one change after the other: the single count of pauses and the cost of failures. Change: waiting attempts that can come before the soft deadline go first, in the order of rank and age; an attempt that lost goes on only at a searcher that stated free slots within a second; stalls and slow local searchers are judged in replica groups alone.

--- a/event.go
+++ b/event.go
@@ -152,6 +152,8 @@
 type CancelAttempt struct {
 	Query   QueryID   `json:"query"`
 	Attempt AttemptID `json:"attempt"`
+	// Idle says that the searcher has slots to spare, so that the attempt may end by itself, which keeps its connection.
+	Idle bool `json:"-"`
 }
 
 // MissingShard names a shard that is not part of an answer and the reason.
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -128,7 +128,9 @@
 	state := &query.current.shards[shard]
 	service := query.service
 	state.checkAt = 0
-	gatherer.noteStalls(state)
+	if query.current.layout.shards[shard].group != nil {
+		gatherer.noteStalls(state)
+	}
 	if state.flying >= maxFlights || state.sent >= maxAttempts || state.full(service) || service.config.Once {
 		return
 	}
@@ -232,7 +234,7 @@
 		state.flights[i] = nil
 		gatherer.observeCancelled(attempt)
 		gatherer.actions = append(gatherer.actions, carobthread.Action{
-			Cancel: &carobthread.CancelAttempt{Query: query.id, Attempt: attempt.id},
+			Cancel: &carobthread.CancelAttempt{Query: query.id, Attempt: attempt.id, Idle: gatherer.idle(attempt.replica.searcher)},
 		})
 		gatherer.stats.Cancelled++
 		if gatherer.now >= query.deadline {
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -86,18 +86,19 @@
 		return -1, best
 	}
 	index := gatherer.pick(row, best, count)
-	if best == classLocal {
+	if best == classLocal && row.group != nil {
 		return gatherer.preferLocal(row, index)
 	}
 	return index, best
 }
 
 // preferLocal returns the local replica, or the cheapest remote one if that is cheaper by far, so that a slow
-// searcher does not keep the load of its data centre.
+// searcher does not keep the load of its data centre; not one of a data centre that may have been cut off. Without a
+// replica group, the budget is too small to make up for attempts at a data centre that has just been cut off.
 func (gatherer *Gatherer) preferLocal(row *shardRow, local int) (int, class) {
 	remote := -1
 	for i, found := range gatherer.classes {
-		if found == classRemote && (remote < 0 || gatherer.cost(row.replicas[i].row) < gatherer.cost(row.replicas[remote].row)) {
+		if found == classRemote && !row.replicas[i].row.searcher.centre.suspect() && (remote < 0 || gatherer.cost(row.replicas[i].row) < gatherer.cost(row.replicas[remote].row)) {
 			remote = i
 		}
 	}
@@ -246,6 +247,11 @@
 	return one.load > other.load
 }
 
+// idle reports whether the searcher has stated lately that it has slots to spare.
+func (gatherer *Gatherer) idle(searcher *searcherRow) bool {
+	return gatherer.reportKnown(searcher) && searcher.load <= searcher.config.Slots
+}
+
 func (gatherer *Gatherer) reportKnown(searcher *searcherRow) bool {
 	return searcher.reportAt != 0 && searcher.reportAt >= gatherer.resumedAt && gatherer.now.Sub(searcher.reportAt) < reportAge
 }
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -4,6 +4,7 @@
 // that are no longer named stay until no attempt or query refers to them.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -167,13 +168,15 @@
 	return false
 }
 
-// linkShards records for each searcher the shards that it serves, including those of layouts that only queries in progress use.
+// linkShards records for each searcher the shards that it serves, those of higher rank first, including those of layouts that only queries in progress use.
 func (gatherer *Gatherer) linkShards() {
 	for _, searcher := range gatherer.searcherList {
 		searcher.serves = searcher.serves[:0]
 		searcher.users = 0
 	}
-	for _, service := range gatherer.serviceList {
+	byRank := slices.Clone(gatherer.serviceList)
+	slices.SortStableFunc(byRank, func(left, right *serviceRow) int { return cmp.Compare(left.config.Rank, right.config.Rank) })
+	for _, service := range byRank {
 		if !service.known {
 			continue
 		}
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -189,7 +189,8 @@
 }
 
 // noteStalls marks the searchers of late attempts that have answered nothing since those were sent, such as
-// one that collects garbage: other queries avoid it meanwhile instead of each finding out by itself.
+// one that collects garbage: other queries avoid it meanwhile instead of each finding out by itself. It is kept to
+// replica groups: where one reply in a hundred is slow by itself, it would take slots away from a loaded shard.
 func (gatherer *Gatherer) noteStalls(state *shardState) {
 	for _, attempt := range state.flights[:state.flying] {
 		searcher := attempt.replica.searcher
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -131,6 +131,9 @@
 	config.Layouts = append(config.Layouts, second)
 	config.Services[0].MaxAttempts = run.number(data, "attempts", 0)
 	config.Services[0].Once = data.HasArg("once")
+	if data.HasArg("soft") {
+		config.Services[0].Preference, config.Services[0].SoftDeadline = carobthread.LatencyFirst, run.span(data, "soft")
+	}
 	if data.HasArg("groups") { // each shard's replicas have a retry budget, and three quarters of the shards are required
 		config.RetryBudget = carobthread.RetryBudget{Ratio: 0.2, Slack: 30, Window: 10 * time.Second}
 		config.Services[0].CoverageFloor, config.Services[0].FloorRequired = 0.75, true
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -74,7 +74,10 @@
 		searcher := gatherer.freed[i]
 		searcher.freed = false
 		for _, row := range searcher.serves {
-			gatherer.pump(row)
+			gatherer.pump(row, true)
+		}
+		for _, row := range searcher.serves {
+			gatherer.pump(row, false)
 		}
 	}
 	gatherer.freed = gatherer.freed[:0]
@@ -86,7 +89,8 @@
 		return
 	}
 	for i := 0; i < len(gatherer.waitingRows); i++ {
-		gatherer.pump(gatherer.waitingRows[i])
+		gatherer.pump(gatherer.waitingRows[i], true)
+		gatherer.pump(gatherer.waitingRows[i], false)
 	}
 	gatherer.waitingRows = slices.DeleteFunc(gatherer.waitingRows, func(row *shardRow) bool {
 		row.listed = len(row.waiting) > 0
@@ -94,10 +98,16 @@
 	})
 }
 
-// pump sends the waiting attempts of a shard, oldest first, as far as slots are free.
-func (gatherer *Gatherer) pump(row *shardRow) {
+// pump sends the waiting attempts of a shard, oldest first, as far as slots are free: either those whose queries can
+// still be answered in time or the others. Under a load that the shard cannot carry, the oldest ones would otherwise
+// take every slot and come too late one after the other.
+func (gatherer *Gatherer) pump(row *shardRow, inTime bool) {
 	for i := 0; i < len(row.waiting); {
 		entry := row.waiting[i]
+		if gatherer.inTime(entry.query) != inTime {
+			i++
+			continue
+		}
 		index, found := gatherer.choose(entry.query, entry.shard)
 		if found == classSaturated {
 			i++
@@ -108,6 +118,11 @@
 	}
 }
 
+// inTime reports whether an attempt sent now is likely to be replied to before the query's soft deadline.
+func (gatherer *Gatherer) inTime(query *queryRow) bool {
+	return gatherer.now.Add(query.service.latency.median) <= query.soft
+}
+
 // serve sends an attempt that has left its queue, or recovers its shard if no replica is left.
 func (gatherer *Gatherer) serve(entry waiter, index int, found class) {
 	query := entry.query
--- a/server/search.go
+++ b/server/search.go
@@ -292,13 +292,13 @@
 func (search *Search) release(id carobthread.QueryID, query *pendingQuery) {
 	delete(search.pending, id)
 	for _, cancel := range query.cancels {
-		search.giveUp(cancel)
+		search.giveUp(cancel, false)
 	}
 }
 
-// giveUp ends an attempt that nobody waits for, at once or after the time to linger.
-func (search *Search) giveUp(cancel context.CancelFunc) {
-	if search.options.Linger == 0 {
+// giveUp ends an attempt that nobody waits for: at once, or after the time to linger at an idle searcher.
+func (search *Search) giveUp(cancel context.CancelFunc, idle bool) {
+	if search.options.Linger == 0 || !idle {
 		cancel()
 		return
 	}
@@ -313,7 +313,7 @@
 	}
 	query.steps = append(query.steps, Step{At: search.options.Timer.Now(), Decision: AttemptGivenUp, Attempt: action.Attempt})
 	if cancel := query.cancels[action.Attempt]; cancel != nil {
-		search.giveUp(cancel)
+		search.giveUp(cancel, action.Idle)
 		delete(query.cancels, action.Attempt)
 	}
 }
