Admit by the queues and the soft deadline, and by the share of connections

Cause: admission compared the queues with the caller's deadline, ten times the target, so under overload nearly all admitted queries were answered late; with 33 hosts a searcher's connections allow two attempts a host, while its four slots let a third one wait unseen in the connection pool. Change: a query whose required shards cannot be reached by the soft deadline, by the queues and the rate at which they drain, is refused at once with the time until they can, spread by up to a half; an attempt needs a free connection of this host's share besides a free slot.

--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -173,10 +173,10 @@
 // replicaBit returns the bit of a replica in the tried set; replicas past the 63rd share one.
 func replicaBit(index int) uint64 { return 1 << min(index, 63) }
 
-// free reports whether one more attempt may be sent; a searcher of several services keeps a slot for each other one.
+// free reports whether one more attempt may be sent, which takes a slot and a connection of its own; a searcher of several services keeps a slot for each other one.
 func (replica *replicaRow) free() bool {
 	searcher := replica.searcher
-	if !searcher.limit.Free() {
+	if !searcher.limit.Free() || searcher.config.Connections > 0 && searcher.limit.Running() >= searcher.share.Current() {
 		return false
 	}
 	return searcher.users <= 1 || replica.inFlight < max(1, searcher.limit.Limit()-searcher.users+1)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -90,13 +90,44 @@
 		gatherer.refuse(arrived, carobthread.ReasonDeadlineTooShort, 0)
 		return false
 	}
-	if service.waiting > 0 && gatherer.unanswerable(service, plan, left) || !service.admission.Admit() {
+	if service.config.FloorRequired {
+		if wait := gatherer.timeToFloor(service, plan); wait > 0 {
+			gatherer.refuse(arrived, carobthread.ReasonOverload, gatherer.spread(wait))
+			return false
+		}
+	}
+	overloaded := !service.config.FloorRequired && service.waiting > 0 && gatherer.unanswerable(service, plan, left)
+	if overloaded || !service.admission.Admit() {
 		gatherer.refuse(arrived, carobthread.ReasonOverload, service.admission.RetryAfter())
 		return false
 	}
 	return true
 }
 
+// timeToFloor estimates how long the queues of a service's shards take to become so short that a new query reaches its
+// floor by its soft deadline; 0 if they are short enough now.
+//
+// Under a load that some shards cannot carry, the queries that are admitted would otherwise all be answered late.
+func (gatherer *Gatherer) timeToFloor(service *serviceRow, plan *target) time.Duration {
+	if service.waiting == 0 {
+		return 0
+	}
+	permitted := service.config.SoftDeadline - service.latency.median
+	excess := make([]time.Duration, len(plan.layout.shards))
+	for i := range plan.layout.shards {
+		excess[i] = gatherer.queueTime(&plan.layout.shards[i]) - permitted
+	}
+	slices.Sort(excess)
+	floor := int(math.Ceil(service.config.CoverageFloor * float64(len(excess))))
+	return max(0, excess[min(max(1, floor), len(excess))-1])
+}
+
+// spread lengthens the time after which a refused caller may return by up to a half, so that callers who were refused
+// together do not return together.
+func (gatherer *Gatherer) spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(gatherer.random.Float64()*float64(wait)/2)
+}
+
 // unanswerable reports whether a shard that serves has a queue too long for the time left, or so many shards have one that the floor cannot be met.
 func (gatherer *Gatherer) unanswerable(service *serviceRow, plan *target, left time.Duration) bool {
 	inTime := 0
