Tell other hosts again of a searcher whose held removal was revoked

A host that held the removal of a searcher after an outage told it to others, which dropped the searcher; when the searcher wrote again, nothing but its heartbeat number had changed for the first host, so it never told the others, and they had no replica of some shards from then on (log: no-replica for shard 26). Ruled out: lasting ejections and retry budgets (the classes of the choices in the log were local and remote, with free slots). Change: a revoked removal counts as a change. The follower's script fails without the change.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -248,11 +248,11 @@
 	if valid {
 		held.registration = registration
 	}
-	held.removeAt = 0
-	if differs {
+	if differs || held.removeAt != 0 { // other hosts may have been told of a held removal
 		held.changed = item.Revision
-		change.Searchers = true
 	}
+	held.removeAt = 0
+	change.Searchers = change.Searchers || differs
 }
 
 // remove takes a searcher out at once, or after returnHold if the removal may stem from an outage of the store.
