Add a randomized fault soak of daemons as processes of their own

Change: a loopback proxy that delays, resets, silences and cuts one way; series of overlapping troubles of hosts, searchers, the store, settings and the configuration; checks of each answer while it runs, of all bookings against what ran, and of recovery.

--- a/cmd/carobthreadd/front_test.go
+++ b/cmd/carobthreadd/front_test.go
@@ -46,6 +46,8 @@
 	ledger    []*standin.Forwarded
 	processes []*process
 	config    standin.StoredConfig
+	// storeProxy stands between the hosts and the store, which the searchers write to directly.
+	storeProxy *standin.Proxy
 }
 
 func startFront(t *testing.T) *front {
@@ -55,6 +57,9 @@
 	started.store, err = standin.NewStore()
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, started.store.Close()) })
+	started.storeProxy, err = standin.NewProxy(started.store.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, started.storeProxy.Close()) })
 	started.config = standin.StoredConfig{Version: 1, Limits: map[string]int{
 		"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
 	}}
@@ -93,8 +98,10 @@
 	t.Helper()
 	content := fmt.Sprintf("[host]\nname = %s\ndata-centre = one\ncaller-address = %s\npeer-address = %s\noperator-address = %s\n"+
 		"[store]\naddress = %s\n[forward]\nretry-slack = %d\n[peers]\naddresses = %s\n[stop]\ngrace = 0s\nlimit = 3s\n",
-		entry.name, entry.addresses[0], entry.addresses[1], entry.addresses[2], started.store.Address(), slack, strings.Join(seeds, ","))
-	assert.NilError(t, os.WriteFile(entry.settings, []byte(content), 0o600))
+		entry.name, entry.addresses[0], entry.addresses[1], entry.addresses[2], started.storeProxy.Address(), slack, strings.Join(seeds, ","))
+	// The daemon must not read half a file when it starts.
+	assert.NilError(t, os.WriteFile(entry.settings+".new", []byte(content), 0o600))
+	assert.NilError(t, os.Rename(entry.settings+".new", entry.settings))
 }
 
 func (started *front) group(t *testing.T, name string, count, records int) []*standin.Forwarded {
@@ -103,7 +110,7 @@
 	for index := range count {
 		searcher, err := standin.NewForwarded(standin.ForwardedOptions{
 			ID: fmt.Sprintf("%s-%d", name, index), Group: name, DataCentre: "one", Slots: frontSlots, Work: frontWork,
-			Records: records, Headers: platform.Headers(), Store: started.store,
+			Records: records, Headers: platform.Headers(), Store: started.store, Proxied: true,
 		})
 		assert.NilError(t, err)
 		t.Cleanup(func() { assert.Check(t, searcher.Close()) })
--- a/internal/standin/forwarded.go
+++ b/internal/standin/forwarded.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,6 +28,8 @@
 	Records int
 	Headers carobthread.HeaderNames
 	Store   *Store
+	// Proxied puts a Proxy between the searcher and its callers.
+	Proxied bool
 }
 
 // Forwarded is a stand-in searcher behind plain HTTP forwarding, which registers itself in a Store.
@@ -34,6 +37,7 @@
 	options  ForwardedOptions
 	server   *http.Server
 	address  string
+	proxy    *Proxy
 	slots    chan struct{}
 	sequence atomic.Int64
 	born     int64
@@ -59,6 +63,12 @@
 		options: options, address: listener.Addr().String(), slots: make(chan struct{}, options.Slots),
 		born: time.Now().UnixMilli(), stop: make(chan struct{}), runs: map[string]int{},
 	}
+	if options.Proxied {
+		if searcher.proxy, err = NewProxy(searcher.address); err != nil {
+			return nil, errors.Join(err, listener.Close())
+		}
+		searcher.address = searcher.proxy.Address()
+	}
 	searcher.work.Store(int64(options.Work))
 	searcher.server = &http.Server{Handler: searcher, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = searcher.server.Serve(listener) }()
@@ -70,6 +80,9 @@
 // ID returns the searcher's ID.
 func (searcher *Forwarded) ID() string { return searcher.options.ID }
 
+// Proxy returns the proxy before the searcher, or nil.
+func (searcher *Forwarded) Proxy() *Proxy { return searcher.proxy }
+
 // Runs returns how often each request has run.
 func (searcher *Forwarded) Runs() map[string]int {
 	searcher.mutex.Lock()
@@ -93,7 +106,7 @@
 	searcher.beat()
 }
 
-// Late returns the requests that arrived after Leave.
+// Late returns the requests that arrived after Drain.
 func (searcher *Forwarded) Late() int64 { return searcher.late.Load() }
 
 // Pause stops or resumes the heartbeats.
@@ -104,7 +117,11 @@
 	close(searcher.stop)
 	searcher.beats.Wait()
 	searcher.options.Store.Remove("servers/" + searcher.options.ID)
-	return searcher.server.Close()
+	err := searcher.server.Close()
+	if searcher.proxy != nil {
+		err = errors.Join(err, searcher.proxy.Close())
+	}
+	return err
 }
 
 func (searcher *Forwarded) beatOn() {
