--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -18,6 +18,7 @@
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
 		{name: "submit", short: "Publish a ticket to the platform.", runner: &submitCommand{}},
+		{name: "explain", short: "Tell the story of one request from log files.", runner: &explainCommand{}},
 		{name: "explore", short: "Explore schedules of requests that may not be repeated.", runner: &exploreCommand{}},
 		{name: "bench", short: "Measure the query path on virtual time.", runner: &benchCommand{}},
 		{name: "replay", short: "Run recorded traces through the core and compare.", runner: &replayCommand{}},
--- a/cmd/carobthreadd/main.go
+++ b/cmd/carobthreadd/main.go
@@ -61,16 +61,16 @@
 		return exitUsage
 	}
 	level, _ := zerolog.ParseLevel(settings.Log.Level)
+	options := runner.Options{Settings: settings, SettingsFile: given.Settings, SettingsContent: content, Seed: rand.Uint64()}
 	var output io.Writer = os.Stderr
 	if settings.Store.Address != "" {
 		lines := logger.NewWriter(os.Stdout)
 		defer waitFor(lines.Close)
 		output = lines
+		options.DroppedLines = lines.Dropped
 	}
-	log := zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
-	return serve(runner.Options{
-		Settings: settings, SettingsFile: given.Settings, SettingsContent: content, Logger: log, Seed: rand.Uint64(),
-	})
+	options.Logger = zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
+	return serve(options)
 }
 
 // waitFor gives the last log lines some time to be written.
--- /dev/null
+++ b/explainer/doc.go
@@ -0,0 +1,2 @@
+// Package explainer tells the story of one request from log files.
+package explainer
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -55,10 +55,38 @@
 type Change struct {
 	Table     bool
 	Searchers bool
+	// Notes tell what became of single searchers, in order.
+	Notes []Note
 	// Findings are items that could not be decoded.
 	Findings []error
 }
 
+// Sight names what became of a searcher in the view of this host, as logs do.
+type Sight string
+
+// What may become of a searcher.
+const (
+	SearcherSeen    Sight = "searcher-seen"
+	SearcherLeaving Sight = "searcher-leaving"
+	SearcherChanged Sight = "searcher-changed"
+	SearcherHeld    Sight = "searcher-removal-held"
+	SearcherGone    Sight = "searcher-gone"
+)
+
+// Note is one change of a searcher with the revision of the store that tells of it.
+type Note struct {
+	Sight    Sight
+	Searcher string
+	Group    string
+	Revision uint64
+}
+
+func (change *Change) note(sight Sight, held *entry) {
+	change.Notes = append(change.Notes, Note{
+		Sight: sight, Searcher: held.registration.ID, Group: held.registration.Group, Revision: held.changed,
+	})
+}
+
 // Digest states how much a host knows.
 type Digest struct {
 	Version uint64 `json:"version"`
@@ -178,6 +206,7 @@
 		case held.removeAt != 0 && now >= held.removeAt:
 			held.drop(now)
 			change.Searchers = true
+			change.note(SearcherGone, held)
 		case held.item.Removed && now.Sub(held.removedAt) >= tombstoneSpan:
 			follower.horizon = max(follower.horizon, held.changed)
 			delete(follower.entries, key)
@@ -243,6 +272,13 @@
 		return
 	}
 	differs := held.item.Removed || valid != held.valid || !sameState(held.registration, registration)
+	sight := SearcherChanged
+	switch {
+	case registration.Draining && !held.registration.Draining:
+		sight = SearcherLeaving
+	case held.item.Removed || held.item.Revision == 0 || registration.Born != held.registration.Born:
+		sight = SearcherSeen
+	}
 	held.item = item
 	held.valid = valid
 	if valid {
@@ -252,7 +288,10 @@
 		held.changed = item.Revision
 	}
 	held.removeAt = 0
-	change.Searchers = change.Searchers || differs
+	if differs {
+		change.Searchers = true
+		change.note(sight, held)
+	}
 }
 
 // remove takes a searcher out at once, or after returnHold if the removal may stem from an outage of the store.
@@ -266,11 +305,13 @@
 	if follower.failedAt != 0 && now.Sub(follower.failedAt) < outageSpan {
 		if held.removeAt == 0 {
 			held.removeAt = now.Add(returnHold)
+			change.note(SearcherHeld, held)
 		}
 		return
 	}
 	held.drop(now)
 	change.Searchers = true
+	change.note(SearcherGone, held)
 }
 
 // restartSequence is the highest sequence number that counts as a restart where searchers do not state their start.
--- a/logger/request.go
+++ b/forwarder/log.go
@@ -1,4 +1,4 @@
-package logger
+package forwarder
 
 import (
 	"sync/atomic"
@@ -6,7 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"carobthread"
-	"carobthread/forwarder"
+	"carobthread/logger"
 	"carobthread/server"
 )
 
@@ -15,25 +15,23 @@
 	requestsPerSecond = 5
 	// sampleEvery is the share of unremarkable requests that are logged whole.
 	sampleEvery = 256
-	// lateShare is the part of a route's target after which an answer counts as late, since the way to the caller takes time too.
-	lateShare = 0.9
 )
 
-// Requests logs how requests went: each one that failed, was refused, late or incomplete up to a rate, and a sample of the rest.
-type Requests struct {
-	logger  zerolog.Logger
-	limiter *Limiter
+// Log logs how requests went: each one that failed, was refused, late or incomplete up to a rate, and a sample of the rest.
+type Log struct {
+	output  zerolog.Logger
+	limiter *logger.Limiter
 	// answered counts the unremarkable requests.
 	answered atomic.Uint64
 }
 
-// NewRequests returns a log of requests.
-func NewRequests(logger zerolog.Logger) *Requests {
-	return &Requests{logger: logger, limiter: NewLimiter(logger, requestsPerSecond)}
+// NewLog returns a log of requests that writes to the output.
+func NewLog(output zerolog.Logger) *Log {
+	return &Log{output: output, limiter: logger.NewLimiter(output, requestsPerSecond)}
 }
 
 // End names the end of a request as logs and metrics count it.
-func End(record *forwarder.Record) string {
+func End(record *Record) string {
 	switch {
 	case record.CallerGone:
 		return "caller-gone"
@@ -41,7 +39,7 @@
 		return "refused"
 	case record.Status >= 400:
 		return "failed"
-	case record.Target > 0 && float64(record.Took) > lateShare*float64(record.Target):
+	case record.Target > 0 && record.Took > record.Target:
 		return "late"
 	case record.Answer != nil && record.Answer.Coverage.Answered < record.Answer.Coverage.Total:
 		return "incomplete"
@@ -49,16 +47,16 @@
 	return "answered"
 }
 
-// Log writes the decisions of a request and its end, if the request is remarkable or in the sample.
-func (requests *Requests) Log(now carobthread.Instant, record *forwarder.Record) {
+// Write writes the decisions of a request and its end, if the request is remarkable or in the sample.
+func (log *Log) Write(now carobthread.Instant, record *Record) {
 	end := End(record)
-	if end == "answered" && requests.answered.Add(1)%sampleEvery != 0 || !requests.limiter.Allow(now, end) {
+	if end == "answered" && log.answered.Add(1)%sampleEvery != 0 || !log.limiter.Allow(now, end) {
 		return
 	}
 	for i := range record.Steps {
-		requests.step(record, &record.Steps[i])
+		log.step(record, &record.Steps[i])
 	}
-	line := requests.logger.Info().Str("event", "request-ended").Str("request", record.ID).Str("end", end).
+	line := log.output.Info().Str("event", "request-ended").Str("request", record.ID).Str("end", end).
 		Str("route", record.Route).Str("service", record.Service).Uint64("version", record.Version).
 		Int("status", record.Status).Str("reason", string(record.Reason)).
 		Int64("took-us", record.Took.Microseconds()).Int64("time-left-us", record.TimeLeft.Microseconds()).
@@ -73,8 +71,8 @@
 	line.Msg("request ended")
 }
 
-func (requests *Requests) step(record *forwarder.Record, step *server.Step) {
-	line := requests.logger.Info().Str("event", string(step.Decision)).Str("request", record.ID).
+func (log *Log) step(record *Record, step *server.Step) {
+	line := log.output.Info().Str("event", string(step.Decision)).Str("request", record.ID).
 		Int64("after-us", step.At.Sub(record.Arrived).Microseconds()).
 		Uint64("attempt", uint64(step.Attempt)).Uint32("shard", step.Shard).Str("searcher", step.Searcher)
 	switch step.Decision {
--- a/runner/front.go
+++ b/runner/front.go
@@ -22,7 +22,6 @@
 	"carobthread/follower"
 	"carobthread/forwarder"
 	"carobthread/gatherer"
-	"carobthread/logger"
 	"carobthread/messenger"
 	"carobthread/planner"
 	"carobthread/platform"
@@ -40,6 +39,8 @@
 	drainShare = 0.6
 	// closeShare is the part of the stop's limit after which what still runs is cut.
 	closeShare = 0.95
+	// gaugePeriod is how often gauges are updated.
+	gaugePeriod = 5 * time.Second
 	// headerTimeout bounds a caller's header; the routing table's own limit is known only after the start.
 	headerTimeout = 10 * time.Second
 	// idleTimeout exceeds the time for which callers reuse idle connections.
@@ -60,7 +61,7 @@
 	timer     carobthread.Timer
 	spans     *tracer.Exporter
 	meter     *server.Meter
-	requests  *logger.Requests
+	requests  *forwarder.Log
 	caller    *caller.HTTPCaller
 	store     *platform.Store
 	messenger *messenger.Messenger
@@ -94,7 +95,7 @@
 	scope, closeScope := newScope(host.settings, registry)
 	host.closers = append(host.closers, closeScope)
 	host.meter = server.NewMeter(scope)
-	host.requests = logger.NewRequests(host.logger)
+	host.requests = forwarder.NewLog(host.logger)
 	if err := host.listen(ctx); err != nil {
 		return nil, errors.Join(err, host.listeners.close())
 	}
@@ -230,6 +231,19 @@
 	host.search.SetView(view)
 }
 
+// report updates the gauges.
+func (host *Front) report() {
+	err := errors.Join(host.meter.Gauges("query", host.search.Stats()), host.meter.Gauges("directory", host.directory.Stats()))
+	if host.options.DroppedLines != nil {
+		err = errors.Join(err, host.meter.Gauges("log", struct {
+			Dropped uint64 `json:"dropped-lines"`
+		}{host.options.DroppedLines()}))
+	}
+	if err != nil {
+		host.logger.Error().Err(err).Str("event", "report-failed").Msg("gauges cannot be reported")
+	}
+}
+
 // changed puts a routing table and the searchers in force; the searchers first, since requests follow the router.
 func (host *Front) changed(table carobthread.RoutingTable, entries []carobthread.Registration) {
 	forward := &host.reloaded.Load().Forward
@@ -244,10 +258,8 @@
 
 // ended logs and counts a request that has been answered or given up.
 func (host *Front) ended(record *forwarder.Record) {
-	host.requests.Log(host.timer.Now(), record)
-	if record.Reason != "" {
-		host.meter.Refusal(record.Service, record.Reason)
-	}
+	host.requests.Write(host.timer.Now(), record)
+	host.meter.Request(forwarder.End(record), record.Reason, record.Took)
 	if record.Answer != nil {
 		host.meter.Answer(record.Service, record.Answer, record.Took)
 	}
@@ -278,6 +290,8 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	host.unticked = host.search.Schedule(host.core)
+	unreported := host.timer.Subscribe(gaugePeriod, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) { host.report() }))
+	defer unreported()
 	failed := host.serve(background)
 	var loops sync.WaitGroup
 	loops.Go(func() { host.directory.Run(background) })
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -54,6 +54,8 @@
 	// SettingsFile and SettingsContent are where the settings come from; a host that may reload them reads the file again.
 	SettingsFile    string
 	SettingsContent []byte
+	// DroppedLines returns how many log lines were dropped, or is nil.
+	DroppedLines func() uint64
 	// Reloads gets a value for each request to read the settings again.
 	Reloads <-chan os.Signal
 	Logger  zerolog.Logger
--- a/server/directory.go
+++ b/server/directory.go
@@ -13,6 +13,7 @@
 	"carobthread"
 	"carobthread/assigner"
 	"carobthread/follower"
+	"carobthread/logger"
 	"carobthread/timer"
 	"carobthread/tracker"
 )
@@ -29,6 +30,8 @@
 	// of hosts that start together, the first one to read tells the others.
 	leastPatience  = 50 * time.Millisecond
 	patienceSpread = 400 * time.Millisecond
+	// beliefsPerSecond bounds the log lines of each kind about searchers and hosts.
+	beliefsPerSecond = 20
 	// followTimeout bounds one exchange.
 	followTimeout = time.Second
 	// contactEvery is the mean number of exchanges with random hosts to one with a contact of the settings, so that two halves of a fleet
@@ -96,6 +99,8 @@
 
 	mutex   sync.Mutex
 	random  *rand.Rand
+	limiter *logger.Limiter
+	hosts   map[string]carobthread.HostState
 	reached bool
 	// firstRead is when this host reads for itself if no peer has told it anything.
 	firstRead carobthread.Instant
@@ -139,7 +144,12 @@
 // NewDirectory returns a Directory that works once Run is called.
 func NewDirectory(options DirectoryOptions) *Directory {
 	options.Tracker.WholeFleet()
-	directory := &Directory{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
+	directory := &Directory{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+		limiter: logger.NewLimiter(options.Logger, beliefsPerSecond),
+		hosts:   map[string]carobthread.HostState{},
+	}
 	directory.spread = time.Duration(directory.random.Int64N(int64(options.Pace.Spread) + 1))
 	directory.roles = assigner.New(options.Tracker.View())
 	directory.firstRead = options.Timer.Now()
@@ -333,7 +343,16 @@
 	defer directory.mutex.Unlock()
 	now := directory.options.Timer.Now()
 	change := apply(now)
+	for _, note := range change.Notes {
+		if directory.limiter.Allow(now, string(note.Sight)) {
+			directory.options.Logger.Info().Str("event", string(note.Sight)).Str("searcher", note.Searcher).Str("group", note.Group).
+				Uint64("revision", note.Revision).Int64("knowledge-age-us", now.Sub(directory.freshAt).Microseconds()).Msg("searcher changed")
+		}
+	}
 	for _, finding := range change.Findings {
+		if !directory.limiter.Allow(now, "item-ignored") {
+			continue
+		}
 		directory.options.Logger.Warn().Err(finding).Str("event", "item-ignored").Msg("an item of the store cannot be used")
 	}
 	table := directory.options.Follower.Table()
@@ -462,6 +481,22 @@
 	if directory.options.Tracker.Step(event).View {
 		view := directory.options.Tracker.View()
 		directory.roles = assigner.New(view)
+		directory.logHosts(view)
 		directory.options.Viewed(view)
 	}
 }
+
+// logHosts logs the hosts whose state has changed.
+func (directory *Directory) logHosts(view carobthread.View) {
+	now := directory.options.Timer.Now()
+	for _, host := range view.Hosts {
+		if directory.hosts[host.Name] == host.State {
+			continue
+		}
+		directory.hosts[host.Name] = host.State
+		if directory.limiter.Allow(now, "host-changed") {
+			directory.options.Logger.Info().Str("event", "host-changed").Str("peer", host.Name).Str("state", string(host.State)).
+				Str("peer-data-centre", host.DataCentre).Msg("another host changed")
+		}
+	}
+}
--- a/server/meter.go
+++ b/server/meter.go
@@ -35,6 +35,13 @@
 	scope.Histogram("latency_seconds", meter.buckets).RecordDuration(latency)
 }
 
+// Request counts one request of a caller by its end and, for an end of our own, the reason.
+func (meter *Meter) Request(end string, reason carobthread.Reason, took time.Duration) {
+	scope := meter.scope.Tagged(map[string]string{"end": end, "reason": string(reason)})
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("request_seconds", meter.buckets).RecordDuration(took)
+}
+
 // Refusal counts one refusal by reason.
 func (meter *Meter) Refusal(service string, reason carobthread.Reason) {
 	meter.scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("refusals").Inc(1)
