--- a/cmd/carobthreadd/main.go
+++ b/cmd/carobthreadd/main.go
@@ -69,6 +69,7 @@
 		output = lines
 		options.DroppedLines = lines.Dropped
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	options.Logger = zerolog.New(output).Level(level).With().Timestamp().Str("host", settings.Host.Name).Logger()
 	return serve(options)
 }
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -21,9 +21,9 @@
 // runs, callers check each answer; at its end, all bookings are checked against what the searchers ran, and the fleet
 // has to serve again. go test ./cmd/carobthreadd -run Soak -soak-seeds 50 -soak-first 1000 plays fresh seeds.
 var (
-	soakSeeds = flag.Int("soak-seeds", 1, "number of seeds that the soak plays")
-	soakFirst = flag.Uint64("soak-first", 1, "first seed of the soak")
-	soakSpan  = flag.Duration("soak-span", 5*time.Second, "how long each seed troubles the fleet")
+	soakSeeds = flag.Int("soak-seeds", 1, "number of seeds that the soak plays")                   //nolint:gochecknoglobals // a test flag
+	soakFirst = flag.Uint64("soak-first", 1, "first seed of the soak")                             //nolint:gochecknoglobals // a test flag
+	soakSpan  = flag.Duration("soak-span", 5*time.Second, "how long each seed troubles the fleet") //nolint:gochecknoglobals // a test flag
 )
 
 // keptSeeds failed once; each stands with its cause.
--- a/config.go
+++ b/config.go
@@ -40,7 +40,8 @@
 	Layout         uint32        `json:"layout"`
 	// MaxAttempts bounds the searchers that a query is sent to for each shard; 0 takes the bound of the core.
 	MaxAttempts int `json:"max-attempts,omitempty"`
-	// HedgeDelay is when an attempt counts as late until enough latencies are known; 0 waits for them.
+	// HedgeDelay is when an attempt counts as late while no latencies are known, and the latest such time for attempts
+	// that take half of it by the median; 0 leaves it to the latencies.
 	HedgeDelay time.Duration `json:"hedge-delay,omitempty"`
 	// Rank orders the services whose attempts wait for the same slots; 0 goes first.
 	Rank int `json:"rank,omitempty"`
--- a/event.go
+++ b/event.go
@@ -194,6 +194,19 @@
 	Service          string  `json:"service"`
 	Reason           Reason  `json:"reason"`
 	RetryAfterMicros int64   `json:"retry-after-us,omitempty"`
+	// Inputs explain the refusal to operators; they are no part of a recorded decision.
+	Inputs RefusalInputs `json:"-"`
+}
+
+// RefusalInputs are what decided on a refusal; zero where it did not matter.
+type RefusalInputs struct {
+	// Waiting counts the service's attempts that wait for a slot.
+	Waiting int
+	// WaitEstimate is how long until the required shards can be reached in time.
+	WaitEstimate time.Duration
+	// Reachable and Required count shards.
+	Reachable int
+	Required  int
 }
 
 // SetConnections asks the process to keep this many connections open to a searcher.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -57,7 +57,7 @@
 	for scanner.Scan() {
 		_, content, found := bytes.Cut(scanner.Bytes(), []byte("{"))
 		var fields map[string]any
-		if !found || json.Unmarshal(append([]byte("{"), content...), &fields) != nil {
+		if !found || decode(append([]byte("{"), content...), &fields) != nil {
 			continue
 		}
 		reader.take(fields)
@@ -68,6 +68,13 @@
 	return nil
 }
 
+// decode keeps numbers as they are written.
+func decode(content []byte, fields *map[string]any) error {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.UseNumber()
+	return decoder.Decode(fields)
+}
+
 func (reader *Reader) take(fields map[string]any) {
 	host, _ := fields["host"].(string)
 	event, _ := fields["event"].(string)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -53,7 +53,10 @@
 	Took     time.Duration
 	TimeLeft time.Duration
 	Target   time.Duration
-	Answer   *carobthread.AnswerQuery
+	// Once says that the request may run at most once.
+	Once    bool
+	Answer  *carobthread.AnswerQuery
+	Refusal *carobthread.RefuseQuery
 	// Steps are the decisions on the request's attempts in their order.
 	Steps []server.Step
 	// RetryAfter is what the caller was told, or 0.
@@ -162,6 +165,7 @@
 		},
 		Once: !choice.Route.Idempotent,
 	}
+	record.Once = query.Once
 	record.TimeLeft = choice.Route.Timeout
 	if left, err := strconv.ParseInt(request.Header.Get(names.TimeLeft), 10, 64); err == nil && left >= 0 {
 		record.TimeLeft = min(record.TimeLeft, time.Duration(left)*time.Millisecond)
@@ -172,6 +176,7 @@
 
 func (forwarder *Forwarder) answer(writer http.ResponseWriter, choice *router.Choice, end server.Outcome, record *Record) {
 	if end.Refusal != nil {
+		record.Refusal = end.Refusal
 		forwarder.refuse(writer, record, end.Refusal.Reason, time.Duration(end.Refusal.RetryAfterMicros)*time.Microsecond)
 		return
 	}
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -60,10 +60,14 @@
 		Str("route", record.Route).Str("service", record.Service).Uint64("version", record.Version).
 		Int("status", record.Status).Str("reason", string(record.Reason)).
 		Int64("took-us", record.Took.Microseconds()).Int64("time-left-us", record.TimeLeft.Microseconds()).
-		Int64("target-us", record.Target.Microseconds())
+		Int64("target-us", record.Target.Microseconds()).Bool("once", record.Once)
 	if record.RetryAfter > 0 {
 		line = line.Int64("retry-after-us", record.RetryAfter.Microseconds())
 	}
+	if refusal := record.Refusal; refusal != nil {
+		line = line.Int("waiting", refusal.Inputs.Waiting).Int64("wait-estimate-us", refusal.Inputs.WaitEstimate.Microseconds()).
+			Int("shards-reachable", refusal.Inputs.Reachable).Int("shards-required", refusal.Inputs.Required)
+	}
 	if answer := record.Answer; answer != nil {
 		line = line.Uint32("shards-answered", answer.Coverage.Answered).Uint32("shards-total", answer.Coverage.Total).
 			Uint32("attempts", answer.Attempts).Bool("not-run", answer.NotRun).Interface("missing", answer.Coverage.Missing)
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -5,7 +5,6 @@
 // of searchers and of the tables agree.
 
 import (
-	"cmp"
 	"time"
 
 	"carobthread"
@@ -72,7 +71,7 @@
 	state.reached |= replicaBit(index)
 	state.unpaid = false
 	state.checkAt = 0
-	if delay := cmp.Or(service.latency.hedge, service.config.HedgeDelay); delay > 0 && gatherer.inForce() {
+	if delay := service.hedgeDelay(); delay > 0 && gatherer.inForce() {
 		if state.flying > 1 && service.latency.median > 0 {
 			// The shard is late already, and with 120 shards one hedge in twenty is late itself.
 			delay = min(delay, service.latency.median/3)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -5,7 +5,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"slices"
 	"time"
 
@@ -82,9 +81,12 @@
 // admit refuses a query that cannot reach its coverage floor by its deadline, or that exceeds the service's limit.
 func (gatherer *Gatherer) admit(service *serviceRow, plan *target, arrived *carobthread.QueryArrived, deadline carobthread.Instant) bool {
 	left := deadline.Sub(gatherer.now)
-	if service.config.FloorRequired && !service.floorMet(&candidate{shards: make([]shardState, len(plan.layout.shards)), answered: plan.layout.reachable()}) {
-		gatherer.refuse(arrived, carobthread.ReasonNoReplica, noReplicaRetry)
-		return false
+	if service.config.FloorRequired {
+		inputs := carobthread.RefusalInputs{Reachable: plan.layout.reachable(), Required: service.required(len(plan.layout.shards))}
+		if inputs.Reachable < inputs.Required {
+			gatherer.refuseFor(arrived, carobthread.ReasonNoReplica, noReplicaRetry, inputs)
+			return false
+		}
 	}
 	if left < service.latency.fast {
 		gatherer.refuse(arrived, carobthread.ReasonDeadlineTooShort, 0)
@@ -92,7 +94,8 @@
 	}
 	if service.config.FloorRequired {
 		if wait := gatherer.timeToFloor(service, plan); wait > 0 {
-			gatherer.refuse(arrived, carobthread.ReasonOverload, gatherer.spread(wait))
+			inputs := carobthread.RefusalInputs{Waiting: service.waiting, WaitEstimate: wait}
+			gatherer.refuseFor(arrived, carobthread.ReasonOverload, gatherer.spread(wait), inputs)
 			return false
 		}
 	}
@@ -118,8 +121,7 @@
 		excess[i] = gatherer.queueTime(&plan.layout.shards[i]) - permitted
 	}
 	slices.Sort(excess)
-	floor := int(math.Ceil(service.config.CoverageFloor * float64(len(excess))))
-	return max(0, excess[min(max(1, floor), len(excess))-1])
+	return max(0, excess[service.required(len(excess))-1])
 }
 
 // spread lengthens the time after which a refused caller may return by up to a half, so that callers who were refused
@@ -141,8 +143,7 @@
 			return true
 		}
 	}
-	floor := math.Ceil(service.config.CoverageFloor * float64(len(plan.layout.shards)))
-	return float64(inTime) < max(1, floor)
+	return inTime < service.required(len(plan.layout.shards))
 }
 
 // queueTime estimates how long the attempts that wait for a slot of the shard take to get one.
@@ -340,11 +341,16 @@
 }
 
 func (gatherer *Gatherer) refuse(arrived *carobthread.QueryArrived, reason carobthread.Reason, retryAfter time.Duration) {
+	gatherer.refuseFor(arrived, reason, retryAfter, carobthread.RefusalInputs{})
+}
+
+func (gatherer *Gatherer) refuseFor(arrived *carobthread.QueryArrived, reason carobthread.Reason, retryAfter time.Duration, inputs carobthread.RefusalInputs) {
 	gatherer.stats.Refusals[reason]++
 	gatherer.actions = append(gatherer.actions, carobthread.Action{Refuse: &carobthread.RefuseQuery{
 		Query:            arrived.Query,
 		Service:          arrived.Service,
 		Reason:           reason,
 		RetryAfterMicros: retryAfter.Microseconds(),
+		Inputs:           inputs,
 	}})
 }
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -1,6 +1,8 @@
 package gatherer
 
 import (
+	"cmp"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -20,6 +22,9 @@
 	maxMoves = 2
 )
 
+// floorRounding lets a floor that is a share of the shards be met by exactly that many.
+const floorRounding = 1e-9
+
 // shardState is one shard of one candidate answer.
 type shardState struct {
 	flights [maxFlights]*attemptRow
@@ -212,8 +217,12 @@
 
 // floorMet reports whether the candidate covers the service's floor.
 func (service *serviceRow) floorMet(candidate *candidate) bool {
-	const rounding = 1e-9
-	return float64(candidate.answered) >= service.config.CoverageFloor*float64(len(candidate.shards))-rounding
+	return float64(candidate.answered) >= service.config.CoverageFloor*float64(len(candidate.shards))-floorRounding
+}
+
+// required returns how many of so many shards the service's floor asks for, at least one.
+func (service *serviceRow) required(shards int) int {
+	return max(1, int(math.Ceil(service.config.CoverageFloor*float64(shards)-floorRounding)))
 }
 
 // maxSearchers returns how many searchers a query may be sent to for each shard.
@@ -229,6 +238,16 @@
 	return bits.OnesCount64(state.reached) >= service.maxSearchers()
 }
 
+// hedgeDelay returns when an attempt counts as late: by the latencies seen, but no later than the configured delay or
+// twice the median, since latencies rise with the very faults that hedges are for; 0 if it is not known.
+func (service *serviceRow) hedgeDelay() time.Duration {
+	seen, configured := service.latency.hedge, service.config.HedgeDelay
+	if seen == 0 || configured == 0 {
+		return cmp.Or(seen, configured)
+	}
+	return min(seen, max(configured, 2*service.latency.median))
+}
+
 // floorLost reports whether a required floor can no longer be met.
 func (service *serviceRow) floorLost(query *queryRow) bool {
 	if !service.config.FloorRequired {
