Take a fleet for sixteen hosts at least in a host's first span

Cause: a host that has just started knows no other, so 33 hosts that start together would each have used a third of the whole fleet's slack. Change: the window divides the slack itself, in its first span by sixteen or more. The property test of the window fails without the change.

--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -43,9 +43,8 @@
 // configureGroups divides the budget of each group by the number of live hosts.
 func (gatherer *Gatherer) configureGroups() {
 	budget := &gatherer.retryBudget
-	slack := budget.Slack / float64(gatherer.budgetHosts)
 	for _, row := range gatherer.groups {
-		row.window.Configure(budget.Ratio, slack, budget.Window)
+		row.window.Configure(budget.Ratio, budget.Slack, gatherer.budgetHosts, budget.Window)
 	}
 }
 
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -15,13 +15,19 @@
 // firstShare is the part of the slack that a run may use in its first span; the rest is left to later ones.
 const firstShare = 1.0 / 3
 
+// leastHosts is the size that a fleet is taken for in a host's first span.
+const leastHosts = 16
+
 // Window bounds the extra attempts within any sliding span by a ratio of the requests in that span and a slack.
 //
 // In the first span only a third of the slack counts, since earlier runs of this
-// process may have used it just before they ended.
+// process may have used it just before they ended, and it is divided by at least
+// leastHosts, since a host that has just started does not know the others.
 type Window struct {
-	ratio   float64
-	slack   float64
+	ratio float64
+	slack float64
+	// hosts is the number of hosts that the slack is divided by.
+	hosts   int
 	span    time.Duration
 	started carobthread.Instant
 	// current is the number of the latest slot since the epoch.
@@ -33,10 +39,11 @@
 // NewWindow returns an empty window that begins at the given time.
 func NewWindow(now carobthread.Instant) Window { return Window{started: now} }
 
-// Configure sets the bounds; what has been counted stays.
-func (window *Window) Configure(ratio, slack float64, span time.Duration) {
+// Configure sets the bounds for a fleet of so many hosts; what has been counted stays.
+func (window *Window) Configure(ratio, slack float64, hosts int, span time.Duration) {
 	window.ratio = ratio * ratioMargin
 	window.slack = slack
+	window.hosts = max(1, hosts)
 	window.span = span
 }
 
@@ -82,9 +89,9 @@
 	}
 	permitted := window.ratio * float64(requests)
 	if now.Sub(window.started) >= window.span {
-		permitted += window.slack * (1 - firstShare)
+		permitted += window.slack / float64(window.hosts) * (1 - firstShare)
 	} else {
-		permitted += window.slack * firstShare
+		permitted += window.slack / float64(max(window.hosts, leastHosts)) * firstShare
 	}
 	return permitted - float64(extras)
 }
