--- a/logger/writer.go
+++ b/logger/writer.go
@@ -15,7 +15,8 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	failed  atomic.Uint64
-	closing sync.Once
+	end     sync.Once
+	ending  chan struct{}
 	done    chan struct{}
 }
 
@@ -23,23 +24,43 @@
 
 // NewWriter returns a writer to the output.
 func NewWriter(output io.Writer) *Writer {
-	writer := &Writer{output: output, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	writer := &Writer{
+		output: output, lines: make(chan []byte, queuedLines), ending: make(chan struct{}), done: make(chan struct{}),
+	}
 	go writer.run()
 	return writer
 }
 
 func (writer *Writer) run() {
 	defer close(writer.done)
-	for line := range writer.lines {
-		if line == nil {
+	for {
+		select {
+		case line := <-writer.lines:
+			writer.pass(line)
+		case <-writer.ending:
+			writer.passQueued()
 			return
 		}
-		if _, err := writer.output.Write(line); err != nil {
-			writer.failed.Add(1)
+	}
+}
+
+func (writer *Writer) passQueued() {
+	for {
+		select {
+		case line := <-writer.lines:
+			writer.pass(line)
+		default:
+			return
 		}
 	}
 }
 
+func (writer *Writer) pass(line []byte) {
+	if _, err := writer.output.Write(line); err != nil {
+		writer.failed.Add(1)
+	}
+}
+
 // Write queues a copy of the line; it never blocks and never fails.
 func (writer *Writer) Write(line []byte) (int, error) {
 	select {
@@ -55,11 +76,6 @@
 
 // Close ends the writer; done is closed once the queued lines are written, for which a stalled output is not waited.
 func (writer *Writer) Close() (done <-chan struct{}) {
-	writer.closing.Do(func() {
-		select {
-		case writer.lines <- nil:
-		default:
-		}
-	})
+	writer.end.Do(func() { close(writer.ending) })
 	return writer.done
 }
--- /dev/null
+++ b/server/directory_test.go
@@ -0,0 +1,186 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"carobthread"
+	"carobthread/follower"
+	"carobthread/platform"
+	"carobthread/server"
+	"carobthread/timer"
+	"carobthread/tracker"
+)
+
+// fakeStore holds the routing table's version; it refuses the hosts that it is told to, and counts the others' reads.
+type fakeStore struct {
+	mutex   sync.Mutex
+	version uint64
+	refused map[string]bool
+	reads   int
+}
+
+// storeClient is the store as one host sees it.
+type storeClient struct {
+	store *fakeStore
+	host  string
+}
+
+func (client *storeClient) answer() (carobthread.StoreItems, error) {
+	client.store.mutex.Lock()
+	defer client.store.mutex.Unlock()
+	if client.store.refused[client.host] {
+		return carobthread.StoreItems{}, &carobthread.StoreError{Call: "read", Cause: errors.New("refused")}
+	}
+	client.store.reads++
+	item := carobthread.StoreItem{Key: "op/config", Revision: client.store.version, Content: fmt.Appendf(nil, `{"version":%d}`, client.store.version)}
+	return carobthread.StoreItems{Items: []carobthread.StoreItem{item}, AsOf: client.store.version}, nil
+}
+
+func (client *storeClient) List(context.Context, string, string) (carobthread.StoreItems, error) {
+	return client.answer()
+}
+
+func (client *storeClient) Watch(context.Context, uint64, time.Duration) (carobthread.StoreItems, error) {
+	return client.answer()
+}
+
+// directoryFleet is a set of directories whose peer calls go straight to each other.
+type directoryFleet struct {
+	store *fakeStore
+	mutex sync.Mutex
+	hosts map[string]*server.Directory
+	tells map[string]uint64
+}
+
+type directCaller struct {
+	fleet *directoryFleet
+	host  string
+}
+
+func (caller *directCaller) Call(ctx context.Context, host, method string, params, result any) error {
+	caller.fleet.mutex.Lock()
+	peer := caller.fleet.hosts[host]
+	caller.fleet.mutex.Unlock()
+	if peer == nil {
+		return &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonHostUnreachable}
+	}
+	content, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := peer.Handle(ctx, caller.host, method, content)
+	if err != nil {
+		return err
+	}
+	if content, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(content, result)
+}
+
+func (fleet *directoryFleet) version(host string) uint64 {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.tells[host]
+}
+
+const testFreshness = time.Second
+
+func startDirectories(t *testing.T, hosts int) *directoryFleet {
+	t.Helper()
+	started := &directoryFleet{
+		store: &fakeStore{version: 1, refused: map[string]bool{}},
+		hosts: map[string]*server.Directory{}, tells: map[string]uint64{},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	clock := timer.New()
+	for index := range hosts {
+		name := fmt.Sprintf("host-%02d", index)
+		self := carobthread.Host{Name: name, DataCentre: fmt.Sprintf("dc-%d", index%3), PeerAddress: name, Incarnation: carobthread.Incarnation{Start: 1}}
+		directory := server.NewDirectory(server.DirectoryOptions{
+			Self: self, Contacts: []string{"host-00", "host-01"}, Follower: follower.New(platform.Decoder{}),
+			Tracker: tracker.New(self, nil, clock.Now(), uint64(index)), Timer: clock, Peers: &directCaller{fleet: started, host: name},
+			Store: &storeClient{store: started.store, host: name}, Logger: zerolog.Nop(), Seed: uint64(index),
+			Pace: server.PaceFor(testFreshness),
+			Changed: func(table carobthread.RoutingTable, _ []carobthread.Registration) {
+				started.mutex.Lock()
+				defer started.mutex.Unlock()
+				assert.Check(t, table.Version > started.tells[name], "%s went from version %d to %d", name, started.tells[name], table.Version)
+				started.tells[name] = table.Version
+			},
+			Viewed: func(carobthread.View) {},
+		})
+		started.mutex.Lock()
+		started.hosts[name] = directory
+		started.mutex.Unlock()
+		running.Go(func() { directory.Run(ctx) })
+	}
+	started.await(t, 1)
+	return started
+}
+
+// await waits until every host has the version.
+func (fleet *directoryFleet) await(t *testing.T, version uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for host := range fleet.hosts {
+			if fleet.version(host) < version {
+				return poll.Continue("%s has version %d", host, fleet.version(host))
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func (fleet *directoryFleet) publish(version uint64, refused ...string) {
+	fleet.store.mutex.Lock()
+	defer fleet.store.mutex.Unlock()
+	fleet.store.version = version
+	for _, host := range refused {
+		fleet.store.refused[host] = true
+	}
+}
+
+// Guards against calls to the store that grow with the fleet.
+func TestDirectoryReadsForTheFleet(t *testing.T) {
+	const (
+		hosts = 24
+		spans = 3
+	)
+	started := startDirectories(t, hosts)
+	time.Sleep(testFreshness)
+	started.store.mutex.Lock()
+	before := started.store.reads
+	started.store.mutex.Unlock()
+	time.Sleep(spans * testFreshness)
+	started.store.mutex.Lock()
+	reads := started.store.reads - before
+	started.store.mutex.Unlock()
+	// Each host for itself would read five times in a span; the reader does, and a few hosts now and then.
+	t.Logf("%d reads in %d spans of %d hosts", reads, spans, hosts)
+	assert.Assert(t, reads < spans*5*hosts/3, "%d reads", reads)
+}
+
+// Guards against a version that does not reach hosts which the store refuses, whichever they are.
+func TestDirectoryReachesRefusedHosts(t *testing.T) {
+	started := startDirectories(t, 9)
+	for version, refused := range []string{"host-00", "host-03", "host-06", "host-01", "host-04", "host-07", "host-02", "host-05"} {
+		started.publish(uint64(version+2), refused)
+		started.await(t, uint64(version+2))
+	}
+}
