Wait for a fast searcher rather than come late from a slow one

Change: an attempt waits if the chosen replica is expected to reply too late and a replica without a free slot would reply in time after the queue.

--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -86,12 +86,48 @@
 		return -1, best
 	}
 	index := gatherer.pick(row, best, count)
-	if best == classLocal && row.group != nil {
-		return gatherer.preferLocal(row, index)
+	if row.group == nil {
+		return index, best
+	}
+	if best == classLocal {
+		index, best = gatherer.preferLocal(row, index)
+	}
+	if best <= classRemote && gatherer.betterToWait(query, row, index) {
+		return -1, classSaturated
 	}
 	return index, best
 }
 
+// betterToWait reports whether the chosen replica is expected to reply too late while one that has no free slot now would
+// reply in time after those that wait. Without this, slow searchers take what the others cannot take at once, and the
+// replies come too late to count.
+func (gatherer *Gatherer) betterToWait(query *queryRow, row *shardRow, chosen int) bool {
+	left := query.soft.Sub(gatherer.now)
+	if left <= 0 || gatherer.recentLatency(row.replicas[chosen].row) <= left {
+		return false
+	}
+	for i, found := range gatherer.classes {
+		replica := row.replicas[i].row
+		if found != classSaturated || gatherer.now < replica.searcher.stalledUntil {
+			continue
+		}
+		latency := gatherer.recentLatency(replica)
+		wait := time.Duration(float64(latency) * float64(len(row.waiting)+1) / float64(replica.searcher.limit.Limit()))
+		if latency > 0 && wait+latency <= left {
+			return true
+		}
+	}
+	return false
+}
+
+// recentLatency returns the replica's estimate, or 0 if it has none that still counts.
+func (gatherer *Gatherer) recentLatency(replica *replicaRow) time.Duration {
+	if replica.seenAt < gatherer.resumedAt || replica.seenAt == 0 || gatherer.now.Sub(replica.seenAt) > latencyAge {
+		return 0
+	}
+	return time.Duration(replica.latency)
+}
+
 // preferLocal returns the local replica, or the cheapest remote one if that is cheaper by far, so that a slow
 // searcher does not keep the load of its data centre; not one of a data centre that may have been cut off. Without a
 // replica group, the budget is too small to make up for attempts at a data centre that has just been cut off.
@@ -227,8 +263,8 @@
 
 // cost is the latency estimate, with the time that a failure is likely to add, multiplied by the load relative to the limit.
 func (gatherer *Gatherer) cost(replica *replicaRow) float64 {
-	latency := replica.latency
-	if replica.seenAt < gatherer.resumedAt || replica.seenAt == 0 || gatherer.now.Sub(replica.seenAt) > latencyAge {
+	latency := float64(gatherer.recentLatency(replica))
+	if latency == 0 {
 		latency = float64(max(time.Millisecond, replica.service.latency.median))
 	}
 	latency *= 1 + failureCost*replica.searcher.failureShare(gatherer.now)
