--- a/cmd/carobctl/check.go
+++ b/cmd/carobctl/check.go
@@ -7,6 +7,7 @@
 
 	"carobthread"
 	"carobthread/parser"
+	"carobthread/platform"
 	"carobthread/publisher"
 	"carobthread/timer"
 )
@@ -19,7 +20,7 @@
 	} `positional-args:"yes"`
 }
 
-// Execute checks settings and tickets, told apart by their sections, and reports the findings of all files at once.
+// Execute checks settings, tickets and documents for the platform's store, told apart by their content, and reports the findings of all files at once.
 func (command *checkCommand) Execute([]string) error {
 	contents := make([][]byte, len(command.Positional.Files))
 	for i, file := range command.Positional.Files {
@@ -33,13 +34,30 @@
 	if err != nil {
 		return fmt.Errorf("check: %w", err)
 	}
-	findings := parser.Check(command.Positional.Files, contents, known)
+	findings := checkDocuments(&command.Positional.Files, &contents)
+	findings = append(findings, parser.Check(command.Positional.Files, contents, known)...)
 	if len(findings) > 0 {
 		return &usageError{cause: findings}
 	}
 	return nil
 }
 
+// checkDocuments checks the operators' documents for the platform's store and takes them out of the files.
+func checkDocuments(files *[]string, contents *[][]byte) carobthread.Findings {
+	findings := carobthread.Findings{}
+	var otherFiles []string
+	var others [][]byte
+	for i, content := range *contents {
+		if platform.IsDocument(content) {
+			findings = append(findings, platform.CheckDocument((*files)[i], content)...)
+			continue
+		}
+		otherFiles, others = append(otherFiles, (*files)[i]), append(others, content)
+	}
+	*files, *contents = otherFiles, others
+	return findings
+}
+
 // known returns which objects count as defined beside those of the files.
 func (command *checkCommand) known() (func(carobthread.ObjectID) bool, error) {
 	if command.Platform == "" {
--- a/cmd/carobctl/check_test.go
+++ b/cmd/carobctl/check_test.go
@@ -24,6 +24,8 @@
 		{exitUsage, []string{"check"}},
 		{exitUsage, []string{"check", "testdata/absent.ini"}},
 		{exitDone, []string{"check", "testdata/host.ini", "testdata/ticket-1.ini", "testdata/ticket-2.ini"}},
+		{exitDone, []string{"check", "testdata/front.ini", "testdata/table.json"}},
+		{exitUsage, []string{"check", "testdata/table.json", "testdata/table-bad.json"}},
 		{exitUsage, []string{"check", "testdata/ticket-2.ini"}}, // refers to an object of ticket 1
 		{exitDone, []string{"check", "--partial", "testdata/ticket-2.ini"}},
 		{exitUsage, []string{"submit", "--platform", "https://" + serving.Address(), "testdata/ticket-1.ini"}},
