Send requests that may not be repeated on connections that have hardly been idle

Cause: a searcher may forget an idle connection without a sign (idle_race on the grown sites); what is sent next on it is reset, and for such a request nobody can say whether it ran. Change: these requests take a connection that was used within 150 ms, or a new one. The test fails without the change.

--- a/caller/http.go
+++ b/caller/http.go
@@ -20,6 +20,8 @@
 const (
 	// idleMargin is how long before a searcher's stated idle timeout its connection is no longer used.
 	idleMargin = time.Second
+	// onceIdle is how long a connection may have been idle before a request that may not be repeated.
+	onceIdle = 150 * time.Millisecond
 	// maxDialTimeout bounds the opening of a connection: a lost opening packet is sent again only after a second.
 	maxDialTimeout = 500 * time.Millisecond
 )
@@ -108,7 +110,7 @@
 // SearchShard forwards one attempt; a failure is a *RequestError that says not-run only if no byte was written.
 func (caller *HTTPCaller) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
 	pool := caller.pool(searcher)
-	conn, err := caller.acquire(ctx, pool)
+	conn, err := caller.acquire(ctx, pool, request.Once)
 	if err != nil {
 		return nil, failure(carobthread.NotRun, request.Service, err)
 	}
@@ -127,12 +129,19 @@
 	}
 }
 
-// acquire returns a connection that its searcher has not been about to close.
-func (caller *HTTPCaller) acquire(ctx context.Context, pool *pool) (*connection, error) {
+// acquire returns a connection that its searcher has not been about to close; for a request that may not be repeated,
+// one that has hardly been idle, since a searcher may have forgotten an idle connection without a sign.
+func (caller *HTTPCaller) acquire(ctx context.Context, pool *pool, once bool) (*connection, error) {
 	for {
 		conn, err := pool.acquire(ctx, true)
-		if err != nil || conn.expires == 0 || caller.options.Timer.Now() < conn.expires {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		now := caller.options.Timer.Now()
+		expired := conn.expires != 0 && now >= conn.expires
+		forgotten := once && conn.usedAt != 0 && now.Sub(conn.usedAt) > onceIdle
+		if !expired && !forgotten {
+			return conn, nil
 		}
 		pool.release(conn, false)
 	}
@@ -161,6 +170,7 @@
 		return nil, false, fmt.Errorf("the reply is for request %q", echoed)
 	}
 	conn.expires = caller.expiry(response.Header)
+	conn.usedAt = caller.options.Timer.Now()
 	return caller.judge(request, response, body), !response.Close, nil
 }
 
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -145,6 +145,36 @@
 	return fmt.Sprintf("%s %d %q seal %s load %v", reply.Status, reply.HTTP.Status, reply.HTTP.Body, reply.HTTP.Seal, reply.Load)
 }
 
+// Guards against a request that may not be repeated on a connection that its searcher may have forgotten.
+func TestHTTPOnceTakesNoIdleConnection(t *testing.T) {
+	searcher := newRawSearcher(t)
+	searcher.answer = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\nsure"
+	clock := timer.NewManual(carobthread.Instant(time.Hour))
+	client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: clock, Connections: 1})
+	defer client.Close()
+	target := carobthread.Searcher{Name: "s", Address: searcher.listener.Addr().String(), Instance: "i"}
+	for index, step := range []struct {
+		idle   time.Duration
+		once   bool
+		opened int
+	}{
+		{0, true, 1},
+		{100 * time.Millisecond, true, 1},
+		{time.Second, false, 1},
+		{time.Second, true, 2},
+	} {
+		clock.Advance(step.idle)
+		request := forwarded(fmt.Sprintf("r%d", index), "/x/1")
+		request.Once = step.once
+		_, err := client.SearchShard(t.Context(), target, request)
+		assert.NilError(t, err)
+		searcher.mutex.Lock()
+		opened := searcher.opened
+		searcher.mutex.Unlock()
+		assert.Equal(t, opened, step.opened, "step %d", index)
+	}
+}
+
 // Guards against a connection that one request looks at, and so spoils, while another one uses it.
 func TestHTTPConnectionsInUseAreLeftAlone(t *testing.T) {
 	searcher := newRawSearcher(t)
--- a/caller/pool.go
+++ b/caller/pool.go
@@ -19,6 +19,8 @@
 	exclusive bool
 	// expires is when the searcher may close the connection, or 0 if it has not said so; only the holder uses it.
 	expires carobthread.Instant
+	// usedAt is the end of the last exchange, or 0 on a new connection; only the holder uses it.
+	usedAt carobthread.Instant
 }
 
 func (conn *connection) close() { _ = conn.client.Close() } // the connection is given up either way
