Share the making of listeners; read callers' deadlines against the clock

Cause: both kinds of entry host made their listeners by the same loop; callers' absolute deadlines were compared with a clock that no longer follows the time of day. Change: one function for both; the time left counts. Run: go test ./server and the daemon's tests pass.

--- a/runner/front.go
+++ b/runner/front.go
@@ -116,37 +116,16 @@
 
 func (host *Front) listen(ctx context.Context) error {
 	all := &host.listeners
-	config := new(net.ListenConfig)
-	for _, one := range []struct {
-		target  *net.Listener
-		purpose string
-		address string
-	}{
-		{&all.caller, "callers", host.settings.Host.CallerAddress},
-		{&all.ready, "the balancer", host.settings.Forward.ReadyAddress},
-		{&all.peer, "peers", host.settings.Host.PeerAddress},
-		{&all.operator, "operators", host.settings.Host.OperatorAddress},
-	} {
-		if one.address == "" {
-			continue
-		}
-		listener, err := config.Listen(ctx, "tcp", one.address)
-		if err != nil {
-			return fmt.Errorf("listen for %s: %w", one.purpose, err)
-		}
-		*one.target = listener
-	}
-	return nil
+	return bind(ctx,
+		binding{&all.caller, "callers", host.settings.Host.CallerAddress},
+		binding{&all.ready, "the balancer", host.settings.Forward.ReadyAddress},
+		binding{&all.peer, "peers", host.settings.Host.PeerAddress},
+		binding{&all.operator, "operators", host.settings.Host.OperatorAddress},
+	)
 }
 
 func (all *frontListeners) close() error {
-	var err error
-	for _, listener := range []net.Listener{all.caller, all.ready, all.peer, all.operator} {
-		if listener != nil {
-			err = errors.Join(err, listener.Close())
-		}
-	}
-	return err
+	return closeAll(all.caller, all.ready, all.peer, all.operator)
 }
 
 func (host *Front) build() {
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -29,29 +29,47 @@
 // listen binds every address before anything is served, so that a wrong address fails at the start.
 func listen(ctx context.Context, settings *carobthread.Settings) (*listeners, error) {
 	all := &listeners{}
+	err := bind(ctx,
+		binding{&all.caller, "callers", settings.Host.CallerAddress},
+		binding{&all.peer, "peers", settings.Host.PeerAddress},
+		binding{&all.operator, "operators", settings.Host.OperatorAddress},
+	)
+	if err != nil {
+		return nil, errors.Join(err, all.close())
+	}
+	all.build(settings)
+	return all, nil
+}
+
+func (all *listeners) close() error { return closeAll(all.caller, all.peer, all.operator) }
+
+// binding is a listener to be made for an address.
+type binding struct {
+	target  *net.Listener
+	purpose string
+	address string
+}
+
+// bind makes the listeners of all bindings with an address; on an error, those made before stay open.
+func bind(ctx context.Context, bindings ...binding) error {
 	config := new(net.ListenConfig)
-	for _, one := range []struct {
-		target  *net.Listener
-		purpose string
-		address string
-	}{
-		{&all.caller, "callers", settings.Host.CallerAddress},
-		{&all.peer, "peers", settings.Host.PeerAddress},
-		{&all.operator, "operators", settings.Host.OperatorAddress},
-	} {
+	for _, one := range bindings {
+		if one.address == "" {
+			continue
+		}
 		listener, err := config.Listen(ctx, "tcp", one.address)
 		if err != nil {
-			return nil, errors.Join(fmt.Errorf("listen for %s: %w", one.purpose, err), all.close())
+			return fmt.Errorf("listen for %s: %w", one.purpose, err)
 		}
 		*one.target = listener
 	}
-	all.build(settings)
-	return all, nil
+	return nil
 }
 
-func (all *listeners) close() error {
+// closeAll closes the listeners that were made.
+func closeAll(all ...net.Listener) error {
 	var err error
-	for _, listener := range []net.Listener{all.caller, all.peer, all.operator} {
+	for _, listener := range all {
 		if listener != nil {
 			err = errors.Join(err, listener.Close())
 		}
--- a/server/search.go
+++ b/server/search.go
@@ -163,7 +163,8 @@
 	}
 	query := Query{Request: &carobthread.Request{Service: message.GetService(), Body: message.GetQuery(), Limit: message.GetLimit()}}
 	if message.GetDeadlineUs() != 0 {
-		query.Deadline = carobthread.FromMicros(message.GetDeadlineUs())
+		// Callers state a time of day, which the steady clock of this process may have left since its start.
+		query.Deadline = started.Add(time.Until(time.UnixMicro(message.GetDeadlineUs())))
 	}
 	end, err := search.Ask(ctx, query)
 	if err != nil {
