--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -272,6 +272,7 @@
 	for ; err != nil; listener, err = net.Listen("tcp", searcher.Address) {
 		time.Sleep(100 * time.Millisecond) // GOAWAY comes meanwhile; the connection closes only after a second
 	}
+	time.Sleep(200 * time.Millisecond) // the port may be free before the client has read GOAWAY
 	second := &http.Server{Handler: first.Config.Handler, Protocols: first.Config.Protocols}
 	go func() { _ = second.Serve(listener) }()
 	_, err = client.Run(t.Context(), searcher, &carobthreadv1.RunRequest{Key: "second", Service: "book"}, permit)
