--- a/caller/doc.go
+++ b/caller/doc.go
@@ -11,4 +11,8 @@
 //   - the permit is asked once, directly before the first byte goes to the connection;
 //   - "not run" is returned only if no byte was written, and no byte is written after Run has returned it;
 //   - a connection whose Run failed is closed and never used again.
+//
+// HTTPCaller forwards plain HTTP requests on connections of its own kind (wire),
+// each to one request at a time. A reply counts only if it is whole, sealed and
+// for its request; a connection on which anything else has come is closed.
 package caller
--- a/gatherer/doc.go
+++ b/gatherer/doc.go
@@ -11,6 +11,8 @@
 //   - no attempt is sent at or after its query's deadline;
 //   - no attempt is sent to a searcher whose attempts in flight have reached its limit;
 //   - hedges are at most 5%, and all extra attempts at most 10%, of the first attempts sent so far;
+//     in a replica group, extra attempts in any sliding window are bounded by its budget instead;
+//   - after an attempt that may have run, a request that may run once is not sent again;
 //   - at most half of a shard's replicas are ejected at once;
 //   - a refused query has sent no attempt;
 //   - the same seed and events give the same actions.
--- a/server/directory.go
+++ b/server/directory.go
@@ -34,8 +34,8 @@
 	beliefsPerSecond = 20
 	// followTimeout bounds one exchange.
 	followTimeout = time.Second
-	// contactEvery is the mean number of exchanges with random hosts to one with a contact of the settings, so that two halves of a fleet
-	// that know nothing of each other meet.
+	// contactEvery is the mean number of exchanges with random hosts to one with a contact of the settings, by which two
+	// halves of a fleet that know nothing of each other meet.
 	contactEvery = 8
 	// randomEvery is the number of exchanges to one with a random host.
 	randomEvery = 4
@@ -43,9 +43,9 @@
 
 // Pace states when a host reads the store and asks its peers.
 //
-// One host of the fleet reads the store; the others hear of it from peers, and
-// read for themselves when that has taken too long. Each price and time stands
-// for one way in which the reader may fail: it is frozen, cut off or refused.
+// One host of the fleet reads the store, and the others ask their peers for
+// what has changed. A host whose knowledge has grown too old, because the reader
+// is frozen, cut off or refused, reads the store itself.
 type Pace struct {
 	// Lead is the time between two reads of the fleet's reader, which gathers the heartbeats of that time into one answer.
 	Lead time.Duration
