Read the logs of running daemons under a lock in the tests

Cause: go test -race found that tests read the buffer to which a daemon's output was still copied. The daemons themselves showed no race. Change: a buffer with a lock. Run: go test -race ./cmd/carobthreadd -run Front passes; so do caller, logger, timer, follower, router and the directory's tests.

--- a/cmd/carobthreadd/daemon_test.go
+++ b/cmd/carobthreadd/daemon_test.go
@@ -44,12 +44,32 @@
 	settings  string
 	command   *exec.Cmd
 	ended     chan struct{}
-	log       *strings.Builder
+	log       *output
 	client    carobthreadv1connect.QueryServiceClient
 	transport *http.Transport
 	ready     atomic.Bool
 }
 
+// output holds what a process writes and may be read while it runs.
+type output struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+// Write appends to the output.
+func (output *output) Write(content []byte) (int, error) {
+	output.mutex.Lock()
+	defer output.mutex.Unlock()
+	return output.text.Write(content)
+}
+
+// String returns what was written so far.
+func (output *output) String() string {
+	output.mutex.Lock()
+	defer output.mutex.Unlock()
+	return output.text.String()
+}
+
 // site is a deployment whose entry hosts are processes of their own.
 type site struct {
 	deployment *deployer.Deployment
@@ -82,7 +102,7 @@
 	t.Helper()
 	entry.command = exec.Command(os.Args[0], "--settings", entry.settings)
 	entry.command.Env = append(os.Environ(), daemonVariable+"=1")
-	entry.log = &strings.Builder{}
+	entry.log = &output{}
 	entry.command.Stderr = entry.log
 	assert.NilError(t, entry.command.Start())
 	entry.transport = &http.Transport{MaxIdleConnsPerHost: 64}
--- a/cmd/carobthreadd/front_test.go
+++ b/cmd/carobthreadd/front_test.go
@@ -124,7 +124,7 @@
 	t.Helper()
 	entry.command = exec.Command(os.Args[0])
 	entry.command.Env = append(os.Environ(), daemonVariable+"=1", platform.SettingsVariable+"="+entry.settings)
-	entry.log = &strings.Builder{}
+	entry.log = &output{}
 	entry.command.Stdout, entry.command.Stderr = entry.log, entry.log
 	assert.NilError(t, entry.command.Start())
 	command, ended := entry.command, make(chan struct{})
