Test a daemon whose log reader stalls

Cause: only the writer had a test; the promise is that requests are not delayed. Change: a daemon writes to a full pipe that nobody reads, and answers 600 requests, half of which it logs, within their time limit.

--- a/cmd/carobthreadd/front_test.go
+++ b/cmd/carobthreadd/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -121,11 +122,17 @@
 }
 
 func (entry *process) startFront(t *testing.T) {
+	t.Helper()
+	entry.log = &output{}
+	entry.startFrontTo(t, entry.log)
+}
+
+// startFrontTo starts the daemon with the given standard output.
+func (entry *process) startFrontTo(t *testing.T, logs io.Writer) {
 	t.Helper()
 	entry.command = exec.Command(os.Args[0])
 	entry.command.Env = append(os.Environ(), daemonVariable+"=1", platform.SettingsVariable+"="+entry.settings)
-	entry.log = &output{}
-	entry.command.Stdout, entry.command.Stderr = entry.log, entry.log
+	entry.command.Stdout, entry.command.Stderr = logs, entry.log
 	assert.NilError(t, entry.command.Start())
 	command, ended := entry.command, make(chan struct{})
 	entry.ended = ended
@@ -352,6 +359,40 @@
 	assert.Check(t, strings.Contains(entry.log.String(), `"version":7`), entry.log.String())
 }
 
+// Guards against a reader of the logs that stalls and so holds up requests.
+func TestFrontStalledOutputDelaysNothing(t *testing.T) {
+	started := startFront(t)
+	entry := started.processes[0]
+	assert.NilError(t, entry.command.Process.Kill())
+	<-entry.ended
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, errors.Join(reader.Close(), writer.Close())) }()
+	assert.NilError(t, writer.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
+	_, err = writer.Write(make([]byte, 8<<20)) // more than a pipe holds
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	entry.startFrontTo(t, writer)
+	started.awaitReady(t)
+	client := &http.Client{Timeout: 2 * frontTimeout}
+	defer client.CloseIdleConnections()
+	const requests = 600
+	late := 0
+	for turn := range requests {
+		// Every second request has no route, which is logged each time.
+		target, status := "/search/x", http.StatusOK
+		if turn%2 == 1 {
+			target, status = "/none/x", http.StatusNotFound
+		}
+		asked := time.Now()
+		answer := send(client, entry, http.MethodGet, target, fmt.Sprintf("stalled-%d", turn), nil)
+		assert.Equal(t, answer.status, status, "%v", answer.err)
+		if time.Since(asked) > frontTimeout { // a write that waits for the reader would not end at all
+			late++
+		}
+	}
+	assert.Equal(t, late, 0)
+}
+
 // Guards against a booking that runs twice or is refused falsely when answers are lost and hosts are killed.
 func TestFrontLostAnswersRunNothingTwice(t *testing.T) {
 	started := startFront(t)
