--- a/follower/follower.go
+++ b/follower/follower.go
@@ -36,12 +36,10 @@
 	table     carobthread.RoutingTable
 	tableItem carobthread.StoreItem
 	tableFrom string
-	tableAt   carobthread.Instant
 	entries   map[string]*entry
 	// asOf is the revision of the store up to which everything is known; 0 before the first list.
 	asOf     uint64
 	failedAt carobthread.Instant
-	readAt   carobthread.Instant
 	// horizon is the lowest revision from which changes can be told completely.
 	horizon uint64
 }
@@ -111,10 +109,8 @@
 // Table returns the routing table; its version is 0 before one is known.
 func (follower *Follower) Table() carobthread.RoutingTable { return follower.table }
 
-// TableAge returns how long the table has been known and which host or store told it.
-func (follower *Follower) TableAge(now carobthread.Instant) (age time.Duration, source string) {
-	return now.Sub(follower.tableAt), follower.tableFrom
-}
+// TableSource returns which host or store told the table.
+func (follower *Follower) TableSource() string { return follower.tableFrom }
 
 // Registrations returns the searchers' valid entries ordered by ID.
 func (follower *Follower) Registrations() []carobthread.Registration {
@@ -143,7 +139,6 @@
 	}
 	follower.asOf = max(follower.asOf, asOf)
 	follower.horizon = max(follower.horizon, asOf)
-	follower.readAt = now
 	return change
 }
 
@@ -151,7 +146,6 @@
 func (follower *Follower) Watched(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
 	change := follower.take(now, source, items)
 	follower.asOf = max(follower.asOf, asOf)
-	follower.readAt = now
 	return change
 }
 
@@ -215,17 +209,6 @@
 	return change
 }
 
-// NextDue returns when a held removal takes effect, or 0 if none is held.
-func (follower *Follower) NextDue() carobthread.Instant {
-	var due carobthread.Instant
-	for _, held := range follower.entries {
-		if held.removeAt != 0 && (due == 0 || held.removeAt < due) {
-			due = held.removeAt
-		}
-	}
-	return due
-}
-
 // take joins items with what is known.
 func (follower *Follower) take(now carobthread.Instant, source string, items []carobthread.StoreItem) Change {
 	var change Change
@@ -237,7 +220,7 @@
 		if isTable {
 			if err == nil && table.Version > follower.table.Version {
 				follower.table, follower.tableItem = table, item
-				follower.tableFrom, follower.tableAt = source, now
+				follower.tableFrom = source
 				change.Table = true
 			}
 			continue
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -16,11 +16,9 @@
 
 // groupRow is one replica group with its retry budget.
 type groupRow struct {
-	name   string
 	window limiter.Window
 	// hedgeFrom is when hedging may start again after a searcher of the group shed load.
 	hedgeFrom carobthread.Instant
-	known     bool
 }
 
 // group returns the row of a group and makes it if it is new; nil for a shard without a group.
@@ -30,13 +28,13 @@
 	}
 	row := gatherer.groups[name]
 	if row == nil {
-		row = &groupRow{name: name, window: limiter.NewWindow(gatherer.startedAt)}
+		began := gatherer.startedAt
 		if gatherer.configured {
-			row.window = limiter.NewWindow(gatherer.now)
+			began = gatherer.now
 		}
+		row = &groupRow{window: limiter.NewWindow(began)}
 		gatherer.groups[name] = row
 	}
-	row.known = true
 	return row
 }
 
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -73,12 +73,6 @@
 	}
 }
 
-// Left returns how many extra attempts the bound permits now.
-func (window *Window) Left(now carobthread.Instant) int {
-	window.roll(now)
-	return max(0, int(window.left(now)))
-}
-
 func (window *Window) left(now carobthread.Instant) float64 {
 	requests, extras := 0, 0
 	for slot := range window.extras {
--- a/runner/front.go
+++ b/runner/front.go
@@ -69,7 +69,6 @@
 	core      *gatherer.Gatherer
 	directory *server.Directory
 	forwarder *forwarder.Forwarder
-	unticked  func()
 	listeners frontListeners
 	ready     atomic.Bool
 	stopping  atomic.Bool
@@ -268,7 +267,7 @@
 func (host *Front) Run(ctx context.Context, abort <-chan struct{}) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	host.unticked = host.search.Schedule(host.core)
+	unscheduled := host.search.Schedule(host.core)
 	unreported := host.timer.Subscribe(gaugePeriod, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) { host.report() }))
 	defer unreported()
 	failed := host.serve(background)
@@ -290,7 +289,7 @@
 	}
 	cancel()
 	loops.Wait()
-	host.unticked()
+	unscheduled()
 	host.messenger.Close()
 	host.caller.Close()
 	host.store.Close()
--- a/server/directory.go
+++ b/server/directory.go
@@ -357,9 +357,8 @@
 	}
 	table := directory.options.Follower.Table()
 	if change.Table {
-		_, source := directory.options.Follower.TableAge(now)
 		directory.options.Logger.Info().Str("event", "table-active").Uint64("version", table.Version).
-			Int("routes", len(table.Routes)).Str("source", source).Msg("routing table active")
+			Int("routes", len(table.Routes)).Str("source", directory.options.Follower.TableSource()).Msg("routing table active")
 	}
 	if table.Version != 0 && (change.Table || change.Searchers) {
 		directory.options.Changed(table, directory.options.Follower.Registrations())
