End queries that can no longer be answered, and answer before the caller's deadline

Ruled out: admission; these queries were admitted while the queues were short. Change: shards without an attempt in flight are closed once the fastest tenth of replies would come too late, and answers go out 15 ms (or a twentieth of the time) before the caller's deadline.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,10 @@
 	startRetry = 200 * time.Millisecond
 	// minRetry bounds Retry-After from below, since an immediate retry meets the same state.
 	minRetry = 20 * time.Millisecond
+	// wayBack is how long before a caller's deadline its answer goes out at the latest, and wayBackShare bounds it for
+	// short deadlines: an answer that leaves at the deadline comes too late.
+	wayBack      = 15 * time.Millisecond
+	wayBackShare = 0.05
 )
 
 // Asker is the query path.
@@ -43,14 +47,15 @@
 
 // Record tells how one request went.
 type Record struct {
-	ID       string
-	Route    string
-	Service  string
-	Version  uint64
-	Status   int
-	Reason   carobthread.Reason
-	Arrived  carobthread.Instant
-	Took     time.Duration
+	ID      string
+	Route   string
+	Service string
+	Version uint64
+	Status  int
+	Reason  carobthread.Reason
+	Arrived carobthread.Instant
+	Took    time.Duration
+	// TimeLeft is the time from the arrival within which the answer must go out.
 	TimeLeft time.Duration
 	Target   time.Duration
 	// Once says that the request may run at most once.
@@ -168,12 +173,17 @@
 	record.Once = query.Once
 	record.TimeLeft = choice.Route.Timeout
 	if left, err := strconv.ParseInt(request.Header.Get(names.TimeLeft), 10, 64); err == nil && left >= 0 {
-		record.TimeLeft = min(record.TimeLeft, time.Duration(left)*time.Millisecond)
+		record.TimeLeft = min(record.TimeLeft, untilAnswer(time.Duration(left)*time.Millisecond))
 	}
 	query.Deadline = record.Arrived.Add(record.TimeLeft)
 	return query
 }
 
+// untilAnswer returns within which time an answer must go out to a caller that waits for so long.
+func untilAnswer(waits time.Duration) time.Duration {
+	return waits - min(wayBack, time.Duration(wayBackShare*float64(waits)))
+}
+
 func (forwarder *Forwarder) answer(writer http.ResponseWriter, choice *router.Choice, end server.Outcome, record *Record) {
 	if end.Refusal != nil {
 		record.Refusal = end.Refusal
--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -93,6 +93,32 @@
 	return true
 }
 
+// lastStart returns the time from which an attempt could no longer be replied to by the query's deadline.
+func (query *queryRow) lastStart() carobthread.Instant {
+	return query.deadline.Add(-query.service.latency.fast)
+}
+
+// closeUnstarted gives up on the shards without an attempt in flight once a new attempt would come too late.
+//
+// Callers of a service with a required floor would otherwise learn only at their deadline that it cannot be met.
+func (gatherer *Gatherer) closeUnstarted(query *queryRow) {
+	if !query.service.config.FloorRequired || gatherer.now < query.lastStart() {
+		return
+	}
+	for shard := range query.current.shards {
+		state := &query.current.shards[shard]
+		if state.reply != 0 || state.closed || state.flying > 0 {
+			continue
+		}
+		reason := carobthread.ReasonTimeout
+		if state.waiting {
+			reason = carobthread.ReasonNoSlot
+			gatherer.stopWaiting(query, uint32(shard))
+		}
+		gatherer.closeShard(query, uint32(shard), reason)
+	}
+}
+
 // advance hedges and retries the shards whose time has come and sets the query's next time.
 func (gatherer *Gatherer) advance(query *queryRow) {
 	for shard := 0; shard < len(query.current.shards); shard++ {
@@ -101,10 +127,14 @@
 			gatherer.check(query, uint32(shard))
 		}
 	}
+	gatherer.closeUnstarted(query)
 	query.due = query.deadline
 	if query.soft > gatherer.now {
 		query.due = min(query.due, query.soft)
 	}
+	if last := query.lastStart(); query.service.config.FloorRequired && last > gatherer.now {
+		query.due = min(query.due, last)
+	}
 	for shard := range query.current.shards {
 		if at := query.current.shards[shard].checkAt; at != 0 && at < query.due {
 			query.due = at
