Hold requests back from leaving searchers until their first byte

Also, the core's word that a searcher is gone was dropped, because the searcher was not configured any more: its pool and connections stayed for good. Change: the query path tells the caller of plain HTTP which searchers leave and which are gone; the first byte and the wait for a connection ask again.

--- a/caller/http.go
+++ b/caller/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +27,9 @@
 	maxDialTimeout = 500 * time.Millisecond
 )
 
+// errLeaving refuses requests to a searcher that is leaving.
+var errLeaving = errors.New("the searcher is leaving")
+
 // HTTPOptions fix the names and bounds of an HTTPCaller.
 type HTTPOptions struct {
 	Headers      carobthread.HeaderNames
@@ -44,6 +48,8 @@
 	mutex   sync.Mutex
 	counts  map[string]int
 	pools   map[string]*pool
+	// leaving holds the searchers that new requests must no longer reach.
+	leaving map[string]bool
 	closed  bool
 }
 
@@ -57,25 +63,48 @@
 	if options.MaxReplySize == 0 {
 		options.MaxReplySize = defaultMaxReplySize
 	}
-	return &HTTPCaller{options: options, counts: map[string]int{}, pools: map[string]*pool{}}
+	return &HTTPCaller{options: options, counts: map[string]int{}, pools: map[string]*pool{}, leaving: map[string]bool{}}
 }
 
-// SetConnections bounds the connections to the searcher; 0 closes them.
+// SetConnections bounds the connections to the searcher.
 func (caller *HTTPCaller) SetConnections(searcher carobthread.Searcher, count int) {
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
-	found := caller.pools[searcher.Name]
-	if count == 0 {
-		delete(caller.counts, searcher.Name)
-		delete(caller.pools, searcher.Name)
-		if found != nil {
-			found.close()
-		}
+	caller.counts[searcher.Name] = count
+	if found := caller.pools[searcher.Name]; found != nil {
+		found.resize(count)
+	}
+}
+
+// SetLeaving states whether the searcher is leaving: requests of which no byte has been written then fail as not run.
+//
+// A request may wait for a connection long after its searcher was chosen.
+func (caller *HTTPCaller) SetLeaving(searcher string, leaving bool) {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	if caller.leaving[searcher] == leaving {
 		return
 	}
-	caller.counts[searcher.Name] = count
+	if leaving {
+		caller.leaving[searcher] = true
+	} else {
+		delete(caller.leaving, searcher)
+	}
+	if found := caller.pools[searcher]; found != nil {
+		found.setLeaving(leaving)
+	}
+}
+
+// Forget closes the connections to a searcher that is gone and drops what is known of it.
+func (caller *HTTPCaller) Forget(searcher string) {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	found := caller.pools[searcher]
+	delete(caller.counts, searcher)
+	delete(caller.pools, searcher)
+	delete(caller.leaving, searcher)
 	if found != nil {
-		found.resize(count)
+		found.close()
 	}
 }
 
@@ -103,6 +132,7 @@
 	found = newPool(searcher.Address, count, Options{})
 	found.plain = &net.Dialer{Timeout: maxDialTimeout}
 	found.closed = caller.closed
+	found.leaving = caller.leaving[searcher.Name]
 	caller.pools[searcher.Name] = found
 	return found
 }
@@ -114,7 +144,7 @@
 	if err != nil {
 		return nil, failure(carobthread.NotRun, request.Service, err)
 	}
-	gate := &gate{permit: ctx.Err}
+	gate := &gate{permit: func() error { return cmp.Or(ctx.Err(), pool.admits()) }}
 	conn.raw.gate.Store(gate)
 	reply, reusable, err := caller.exchange(ctx, conn, searcher, request)
 	unwritten, cause := gate.close()
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"carobthread"
 	"carobthread/caller"
@@ -28,6 +29,8 @@
 	replies  []string
 	// answer formats the reply to each request from its ID, in place of the scripted ones.
 	answer string
+	// hold delays every reply until it is closed; nil delays none.
+	hold <-chan struct{}
 	// requests are the heads that have arrived, opened the number of connections.
 	requests []string
 	opened   int
@@ -74,7 +77,11 @@
 		} else if len(searcher.replies) > 0 {
 			reply, searcher.replies = searcher.replies[0], searcher.replies[1:]
 		}
+		hold := searcher.hold
 		searcher.mutex.Unlock()
+		if hold != nil {
+			<-hold
+		}
 		if reply == "" {
 			return
 		}
@@ -248,3 +255,49 @@
 		assert.Assert(t, state == carobthread.MayHaveRun && arrived(id) == 1, "%s: %s, arrived %d", id, state, arrived(id))
 	}
 }
+
+// Guards against a request that reaches a searcher long after it has left, because it waited for a connection meanwhile,
+// and against the connections of searchers that are gone, which would pile up with each one that is replaced.
+func TestHTTPHoldsBackFromLeavingSearchers(t *testing.T) {
+	searcher := newRawSearcher(t)
+	searcher.answer = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\nsure"
+	release := make(chan struct{})
+	searcher.mutex.Lock()
+	searcher.hold = release
+	searcher.mutex.Unlock()
+	client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 1})
+	defer client.Close()
+	target := carobthread.Searcher{Name: "s", Address: searcher.listener.Addr().String(), Instance: "i"}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	ends := make(chan error, 2)
+	ask := func(id string) {
+		_, err := client.SearchShard(ctx, target, forwarded(id, "/x/1"))
+		ends <- err
+	}
+	go ask("first")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		searcher.mutex.Lock()
+		defer searcher.mutex.Unlock()
+		if len(searcher.requests) == 0 {
+			return poll.Continue("the first request has not arrived")
+		}
+		return poll.Success()
+	})
+	go ask("second")
+	client.SetLeaving("s", true)
+	var failure *carobthread.RequestError
+	assert.Assert(t, errors.As(<-ends, &failure) && failure.State == carobthread.NotRun)
+	close(release)
+	assert.NilError(t, <-ends, "a request that was written before ends as usual")
+	client.SetLeaving("s", false)
+	ask("third")
+	assert.NilError(t, <-ends)
+	client.Forget("s")
+	ask("fourth")
+	assert.NilError(t, <-ends)
+	searcher.mutex.Lock()
+	defer searcher.mutex.Unlock()
+	assert.Equal(t, len(searcher.requests), 3)
+	assert.Equal(t, searcher.opened, 2)
+}
--- a/caller/pool.go
+++ b/caller/pool.go
@@ -57,6 +57,8 @@
 	conns    []*connection
 	changed  chan struct{} // closed and replaced when a connection may have become free
 	closed   bool
+	// leaving says that requests must no longer reach the searcher.
+	leaving bool
 }
 
 type rawKey struct{}
@@ -101,9 +103,9 @@
 			return nil, err
 		}
 		pool.mutex.Lock()
-		if pool.closed {
+		if err := pool.admitsLocked(); err != nil {
 			pool.mutex.Unlock()
-			return nil, net.ErrClosed
+			return nil, err
 		}
 		conn, dial := pool.pickLocked(exclusive)
 		changed := pool.changed
@@ -122,6 +124,23 @@
 	}
 }
 
+// admits returns why no request may be written to the searcher, or nil.
+func (pool *pool) admits() error {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.admitsLocked()
+}
+
+func (pool *pool) admitsLocked() error {
+	switch {
+	case pool.closed:
+		return net.ErrClosed
+	case pool.leaving:
+		return errLeaving
+	}
+	return nil
+}
+
 // pickLocked prefers an idle connection, then a new one, then the least loaded one that may be shared.
 func (pool *pool) pickLocked(exclusive bool) (*connection, bool) {
 	pool.conns = slices.DeleteFunc(pool.conns, (*connection).spent)
@@ -217,6 +236,14 @@
 	pool.wakeLocked()
 }
 
+// setLeaving states whether the searcher is leaving, and wakes the requests that wait for a connection.
+func (pool *pool) setLeaving(leaving bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.leaving = leaving
+	pool.wakeLocked()
+}
+
 // warm opens connections up to the limit ahead of requests.
 func (pool *pool) warm(ctx context.Context) {
 	for {
--- a/server/search.go
+++ b/server/search.go
@@ -123,15 +123,33 @@
 // Configure puts a configuration in force for the queries that arrive from now on.
 func (search *Search) Configure(config carobthread.Config) {
 	search.mutex.Lock()
+	previous := search.searchers
 	search.searchers = make(map[string]carobthread.Searcher, len(config.Searchers))
 	for _, searcher := range config.Searchers {
 		search.searchers[searcher.Name] = searcher
 	}
+	search.holdBack(previous)
 	search.stepLocked(carobthread.Event{Config: &carobthread.ConfigChanged{Config: config}})
 	search.mutex.Unlock()
 	search.ready.Store(true)
 }
 
+// holdBack keeps requests that have not been written yet from searchers that are leaving or gone.
+func (search *Search) holdBack(previous map[string]carobthread.Searcher) {
+	handler, able := search.options.Upstream.(DepartureHandler)
+	if !able {
+		return
+	}
+	for name, searcher := range search.searchers {
+		handler.SetLeaving(name, searcher.Leaving)
+	}
+	for name := range previous {
+		if _, known := search.searchers[name]; !known {
+			handler.SetLeaving(name, true)
+		}
+	}
+}
+
 // Schedule makes the core tick itself when it needs to; without it, the process must tick it all the time.
 func (search *Search) Schedule(core carobthread.Scheduled) (cancel func()) {
 	search.mutex.Lock()
@@ -320,13 +338,13 @@
 }
 
 func (search *Search) connect(action *carobthread.SetConnections) {
-	opener, able := search.options.Upstream.(ConnectionOpener)
-	if !able {
-		return
-	}
-	if searcher, known := search.searchers[action.Searcher]; known {
+	searcher, known := search.searchers[action.Searcher]
+	if opener, able := search.options.Upstream.(ConnectionOpener); able && known {
 		opener.SetConnections(searcher, action.Count)
 	}
+	if handler, able := search.options.Upstream.(DepartureHandler); able && !known && action.Count == 0 {
+		handler.Forget(action.Searcher)
+	}
 }
 
 // ConnectionOpener is an Upstream that can open connections ahead of requests.
@@ -335,6 +353,14 @@
 	SetConnections(searcher carobthread.Searcher, count int)
 }
 
+// DepartureHandler is an Upstream that keeps requests from searchers that are leaving.
+type DepartureHandler interface {
+	// SetLeaving states whether the searcher is leaving: requests that have not been written then fail as not run.
+	SetLeaving(searcher string, leaving bool)
+	// Forget drops what is kept for a searcher that is gone.
+	Forget(searcher string)
+}
+
 // send starts one attempt; its context ends at the attempt's deadline or when it is cancelled.
 func (search *Search) send(action *carobthread.SendAttempt) {
 	query := search.pending[action.Query]
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"carobthread"
 	"carobthread/gatherer"
@@ -86,6 +88,54 @@
 	return search
 }
 
+// departures notes what a Search tells of searchers that are leaving or gone.
+type departures struct {
+	misroutingUpstream
+	leaving, forgotten []string
+}
+
+var _ server.DepartureHandler = (*departures)(nil)
+
+func (upstream *departures) SetLeaving(searcher string, leaving bool) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	if leaving {
+		upstream.leaving = append(upstream.leaving, searcher)
+	}
+}
+
+func (upstream *departures) Forget(searcher string) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.forgotten = append(upstream.forgotten, searcher)
+}
+
+// Guards against requests that wait for a connection and are written to a searcher long after it has left, and against
+// connections that are kept for searchers that are gone.
+func TestSearchTellsOfDepartures(t *testing.T) {
+	upstream := &departures{misroutingUpstream: misroutingUpstream{random: rand.New(rand.NewPCG(1, 1))}}
+	search := startSearch(t, upstream)
+	config := carobthread.Config{Searchers: []carobthread.Searcher{
+		{Name: "stays", Address: "127.0.0.1:1", Slots: 1, Connections: 4}, {Name: "drains", Address: "127.0.0.1:2", Slots: 1, Connections: 4, Leaving: true},
+	}}
+	search.Configure(config)
+	upstream.mutex.Lock()
+	assert.Assert(t, slices.Contains(upstream.leaving, "drains") && !slices.Contains(upstream.leaving, "stays"))
+	assert.Assert(t, slices.Contains(upstream.leaving, "s0-0"), "a searcher that is not configured any more")
+	upstream.mutex.Unlock()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		upstream.mutex.Lock()
+		defer upstream.mutex.Unlock()
+		if !slices.Contains(upstream.forgotten, "s0-0") {
+			return poll.Continue("the searcher that is gone is not forgotten")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	assert.Assert(t, !slices.Contains(upstream.forgotten, "stays") && !slices.Contains(upstream.forgotten, "drains"))
+}
+
 // Guards against a misrouted or duplicate reply that reaches another caller's answer.
 func TestMisroutedRepliesNeverReachAnotherQuery(t *testing.T) {
 	search := startSearch(t, &misroutingUpstream{random: rand.New(rand.NewPCG(1, 2))})
