Let hosts that start together read the store at once

Cause: after a power cut of the fleet, each host waited 50 to 450 ms for peers that knew nothing either, and refused requests meanwhile. Ruled out: peers; an exchange with a host that starts at the same time tells nothing, and the next one is 100 to 300 ms away. Change: the patience is part of the pace, 25 to 100 ms.

--- a/server/directory.go
+++ b/server/directory.go
@@ -26,10 +26,6 @@
 	watchWait = 800 * time.Millisecond
 	// startPeriod is the time between two exchanges until the first routing table is known.
 	startPeriod = 200 * time.Millisecond
-	// leastPatience and patienceSpread are how long a starting host waits for its peers before it lists the whole store:
-	// of hosts that start together, the first one to read tells the others.
-	leastPatience  = 50 * time.Millisecond
-	patienceSpread = 400 * time.Millisecond
 	// beliefsPerSecond bounds the log lines of each kind about searchers and hosts.
 	beliefsPerSecond = 20
 	// followTimeout bounds one exchange.
@@ -47,6 +43,10 @@
 // what has changed. A host whose knowledge has grown too old, because the reader
 // is frozen, cut off or refused, reads the store itself.
 type Pace struct {
+	// Patience and PatienceSpread are how long a starting host waits for its peers before it lists the whole store. A host
+	// that starts alone is told within a round trip; hosts that start together serve nothing until one of these ends.
+	Patience       time.Duration
+	PatienceSpread time.Duration
 	// Lead is the time between two reads of the fleet's reader, which gathers the heartbeats of that time into one answer.
 	Lead time.Duration
 	// Centre and Other are the ages of the own knowledge at which the first host of a data centre and any other one read.
@@ -64,13 +64,15 @@
 // PaceFor returns the pace that keeps knowledge younger than the given age while the store answers anyone.
 func PaceFor(freshness time.Duration) Pace {
 	return Pace{
-		Lead:       freshness / 5,
-		Centre:     freshness * 2 / 5,
-		Other:      freshness * 11 / 20,
-		Spread:     freshness / 5,
-		Follow:     freshness / 8,
-		Retry:      min(400*time.Millisecond, freshness/6),
-		OtherRetry: freshness / 2,
+		Patience:       min(25*time.Millisecond, freshness/10),
+		PatienceSpread: min(75*time.Millisecond, freshness/10),
+		Lead:           freshness / 5,
+		Centre:         freshness * 2 / 5,
+		Other:          freshness * 11 / 20,
+		Spread:         freshness / 5,
+		Follow:         freshness / 8,
+		Retry:          min(400*time.Millisecond, freshness/6),
+		OtherRetry:     freshness / 2,
 	}
 }
 
@@ -154,7 +156,8 @@
 	directory.roles = assigner.New(options.Tracker.View())
 	directory.firstRead = options.Timer.Now()
 	if len(options.Contacts) > 0 {
-		directory.firstRead = directory.firstRead.Add(leastPatience + time.Duration(directory.random.Int64N(int64(patienceSpread))))
+		pace := &directory.options.Pace
+		directory.firstRead = directory.firstRead.Add(pace.Patience + time.Duration(directory.random.Int64N(int64(pace.PatienceSpread)+1)))
 	}
 	return directory
 }
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -184,3 +184,15 @@
 		started.await(t, uint64(version+2))
 	}
 }
+
+// Load: all hosts start at the same moment while callers wait. Guards against hosts that know nothing and wait for each
+// other, and against a pace that lets a host's knowledge grow older than the bound while the store answers.
+func TestPaceKeepsItsBounds(t *testing.T) {
+	const longestStart = 100 * time.Millisecond // of the second within which callers expect a connection to be served
+	for _, freshness := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		pace := server.PaceFor(freshness)
+		assert.Check(t, pace.Patience+pace.PatienceSpread <= longestStart, "%v: %+v", freshness, pace)
+		assert.Check(t, pace.Patience >= 10*time.Millisecond, "%v: a host that starts alone lists the store before its peers answer", freshness)
+		assert.Check(t, pace.Other+pace.Spread+pace.Retry < freshness, "%v: %+v", freshness, pace)
+	}
+}
