Share among the hosts of a data centre which searchers fail attempts

Ruled out: the retry budget and the floor; the attempts that failed were first ones. Change: exchanges with the reader of a data centre carry what each host has seen of searchers that fail; it adds them up and tells each host what the others saw. Not between data centres, since a searcher may fail the callers of one alone.

--- a/event.go
+++ b/event.go
@@ -43,6 +43,7 @@
 	Report *ReportArrived `json:"report,omitempty"`
 	Config *ConfigChanged `json:"config,omitempty"`
 	View   *ViewChanged   `json:"view,omitempty"`
+	Peers  *PeersObserved `json:"peers,omitempty"`
 	Tick   *Ticked        `json:"tick,omitempty"`
 }
 
@@ -96,6 +97,18 @@
 	View View `json:"view"`
 }
 
+// PeersObserved tells what other hosts of the data centre have lately seen of searchers.
+type PeersObserved struct {
+	Observations []Observation `json:"observations"`
+}
+
+// Observation counts the attempts at one searcher that were answered and those that were failed or refused, in a short span.
+type Observation struct {
+	Searcher string `json:"searcher"`
+	Answered int    `json:"answered,omitempty"`
+	Failed   int    `json:"failed,omitempty"`
+}
+
 // Ticked passes time; LateMicros is how far the tick came after it was due, in microseconds.
 type Ticked struct {
 	LateMicros int64 `json:"late-us,omitempty"`
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -104,6 +104,8 @@
 		gatherer.configure(&event.Config.Config)
 	case event.View != nil:
 		gatherer.view(&event.View.View)
+	case event.Peers != nil:
+		gatherer.peersObserved(event.Peers.Observations)
 	case event.Tick != nil:
 		gatherer.tick(event.Tick)
 	}
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -152,7 +152,7 @@
 		searcher.centre.reply()
 		searcher.replied(gatherer.now)
 	}
-	searcher.failed(gatherer.now, reply.Status != carobthread.ReplyOK)
+	searcher.noteEnd(gatherer.now, reply.Status != carobthread.ReplyOK)
 	switch reply.Status {
 	case carobthread.ReplyOK:
 		searcher.limit.Succeed()
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -80,6 +80,12 @@
 			}})
 		}
 		return output
+	case "peers":
+		return run.step(carobthread.Event{Peers: &carobthread.PeersObserved{Observations: []carobthread.Observation{{
+			Searcher: run.text(data, "of", ""), Answered: run.number(data, "answered", 0), Failed: run.number(data, "failed", 0),
+		}}}})
+	case "observations":
+		return fmt.Sprintln(run.core.Observations())
 	case "tick":
 		return run.step(carobthread.Event{Tick: &carobthread.Ticked{LateMicros: run.span(data, "late").Microseconds()}})
 	case "stats":
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -131,6 +131,9 @@
 	// failing is the moving share of attempts that the searcher failed or refused, failingAt its last sample.
 	failing   float64
 	failingAt carobthread.Instant
+	// seen counts the own attempts since they were last told to other hosts, which they are until tellUntil.
+	seen      carobthread.Observation
+	tellUntil carobthread.Instant
 	// repliedAt is the last reply; stalledUntil is set while late attempts show that the searcher answers nothing.
 	repliedAt    carobthread.Instant
 	stalledUntil carobthread.Instant
@@ -277,25 +280,6 @@
 	replica.seenAt = now
 }
 
-// failed notes whether an attempt was failed or refused.
-func (searcher *searcherRow) failed(now carobthread.Instant, outcome bool) {
-	const weight = 0.1
-	searcher.failing, searcher.failingAt = searcher.failureShare(now), now
-	sample := 0.0
-	if outcome {
-		sample = 1
-	}
-	searcher.failing += weight * (sample - searcher.failing)
-}
-
-// failureShare returns the share of failures, or none if the searcher has not been tried lately.
-func (searcher *searcherRow) failureShare(now carobthread.Instant) float64 {
-	if now.Sub(searcher.failingAt) > failureAge {
-		return 0
-	}
-	return searcher.failing
-}
-
 // hold replaces the held snapshots and reports whether they differ.
 func (searcher *searcherRow) hold(now carobthread.Instant, held []uint64) bool {
 	searcher.heldAt = now
--- /dev/null
+++ b/pooler/pooler.go
@@ -0,0 +1,74 @@
+package pooler
+
+// With many hosts, each one sends a searcher only a few attempts a second and takes seconds to find out that it fails
+// part of them. One host of the data centre, the reader of the store that the others ask anyway, collects what all of
+// them have seen and tells each what the others have.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"carobthread"
+)
+
+const (
+	// span is how long a statement is told; it outlasts a few exchanges.
+	span = 2 * time.Second
+	// maxTold bounds the searchers in one answer.
+	maxTold = 512
+)
+
+// statement is what one host has seen since its former one.
+type statement struct {
+	sequence     uint64
+	at           carobthread.Instant
+	host         string
+	observations []carobthread.Observation
+}
+
+// Pooler holds the statements of the last seconds; it is not safe for concurrent use.
+type Pooler struct {
+	statements []statement
+	sequence   uint64
+}
+
+// New returns an empty pooler.
+func New() *Pooler { return &Pooler{} }
+
+// Add takes what a host has seen since its former statement.
+func (pooler *Pooler) Add(now carobthread.Instant, host string, observations []carobthread.Observation) {
+	pooler.statements = slices.DeleteFunc(pooler.statements, func(old statement) bool { return now.Sub(old.at) > span })
+	if len(observations) == 0 {
+		return
+	}
+	pooler.sequence++
+	pooler.statements = append(pooler.statements, statement{sequence: pooler.sequence, at: now, host: host, observations: observations})
+}
+
+// Since returns what other hosts than the asking one have stated after a sequence number, added up and ordered by
+// searcher, and the number to ask from next; a number that was never given out, such as one of an earlier process,
+// counts as 0.
+func (pooler *Pooler) Since(now carobthread.Instant, asking string, after uint64) ([]carobthread.Observation, uint64) {
+	if after > pooler.sequence {
+		after = 0
+	}
+	sums := map[string]carobthread.Observation{}
+	for _, told := range pooler.statements {
+		if told.sequence <= after || told.host == asking || now.Sub(told.at) > span {
+			continue
+		}
+		for _, seen := range told.observations {
+			sum := sums[seen.Searcher]
+			sum.Searcher = seen.Searcher
+			sum.Answered += seen.Answered
+			sum.Failed += seen.Failed
+			sums[seen.Searcher] = sum
+		}
+	}
+	found := slices.SortedFunc(maps.Values(sums), func(left, right carobthread.Observation) int {
+		return cmp.Compare(left.Searcher, right.Searcher)
+	})
+	return found[:min(len(found), maxTold)], pooler.sequence
+}
--- /dev/null
+++ b/pooler/pooler_test.go
@@ -0,0 +1,56 @@
+package pooler_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"carobthread"
+	"carobthread/pooler"
+)
+
+// TestScripts runs the scripts in testdata; each case names the failure that it guards against.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			subject, now := pooler.New(), carobthread.Instant(time.Hour)
+			output := &strings.Builder{}
+			for _, line := range strings.Split(data.Input, "\n") {
+				fields := strings.Fields(line)
+				switch fields[0] {
+				case "add": // add HOST SEARCHER:ANSWERED:FAILED...
+					var seen []carobthread.Observation
+					for _, field := range fields[2:] {
+						part := strings.Split(field, ":")
+						observation := carobthread.Observation{Searcher: part[0]}
+						_, err := fmt.Sscan(part[1]+" "+part[2], &observation.Answered, &observation.Failed)
+						if err != nil {
+							data.Fatalf(t, "%s: %v", line, err)
+						}
+						seen = append(seen, observation)
+					}
+					subject.Add(now, fields[1], seen)
+				case "after": // after DURATION
+					wait, err := time.ParseDuration(fields[1])
+					if err != nil {
+						data.Fatalf(t, "%s: %v", line, err)
+					}
+					now = now.Add(wait)
+				case "since": // since HOST SEQUENCE
+					var after uint64
+					if _, err := fmt.Sscan(fields[2], &after); err != nil {
+						data.Fatalf(t, "%s: %v", line, err)
+					}
+					found, next := subject.Since(now, fields[1], after)
+					fmt.Fprintf(output, "%s: %v next %d\n", line, found, next)
+				default:
+					data.Fatalf(t, "unknown command %s", line)
+				}
+			}
+			return output.String()
+		})
+	})
+}
--- a/runner/front.go
+++ b/runner/front.go
@@ -172,6 +172,7 @@
 		Pace:     server.PaceFor(host.settings.Store.Freshness),
 		Changed:  host.changed,
 		Viewed:   host.viewed,
+		Observer: host.search,
 	})
 	router.PeerHandler = host.directory
 	host.viewed(carobthread.View{Self: self.Name, Hosts: []carobthread.Host{self}})
--- a/server/directory.go
+++ b/server/directory.go
@@ -14,6 +14,7 @@
 	"carobthread/assigner"
 	"carobthread/follower"
 	"carobthread/logger"
+	"carobthread/pooler"
 	"carobthread/timer"
 	"carobthread/tracker"
 )
@@ -93,8 +94,20 @@
 	Changed func(table carobthread.RoutingTable, entries []carobthread.Registration)
 	// Viewed is called with each new view of the entry hosts.
 	Viewed func(view carobthread.View)
+	// Observer is the query path, whose observations the hosts of a data centre share; nil shares none.
+	Observer Observer
 }
 
+// Observer sees how attempts at searchers end.
+type Observer interface {
+	// Observations returns what other hosts should know of this host's attempts since the last call.
+	Observations() []carobthread.Observation
+	// Observe takes what other hosts have seen.
+	Observe(observations []carobthread.Observation)
+}
+
+var _ Observer = (*Search)(nil)
+
 // Directory reads the store and exchanges what it knows with the other hosts.
 type Directory struct {
 	options DirectoryOptions
@@ -115,7 +128,12 @@
 	// roles are the readers by the present view, spread is this host's place in the range of the others' reads.
 	roles  *assigner.Assigner
 	spread time.Duration
-	stats  DirectoryStats
+	// pool holds the observations of the hosts that ask this one; pooled is up to where those of the pool at poolHost are
+	// known.
+	pool     *pooler.Pooler
+	poolHost string
+	pooled   uint64
+	stats    DirectoryStats
 }
 
 // DirectoryStats counts the calls of a Directory.
@@ -141,6 +159,15 @@
 	// Delta and AgeMicros, the age of what the answering host knows, are set in an answer.
 	Delta     *follower.Delta `json:"delta,omitempty"`
 	AgeMicros int64           `json:"age-us,omitempty"`
+	// Pool is set between a host and the reader of its data centre.
+	Pool *poolMessage `json:"pool,omitempty"`
+}
+
+// poolMessage holds the own observations in a request and those of other hosts in an answer.
+type poolMessage struct {
+	Observations []carobthread.Observation `json:"observations,omitempty"`
+	// After is up to where the observations of other hosts are known.
+	After uint64 `json:"after,omitempty"`
 }
 
 // NewDirectory returns a Directory that works once Run is called.
@@ -151,6 +178,7 @@
 		random:  rand.New(rand.NewPCG(options.Seed, 1)),
 		limiter: logger.NewLimiter(options.Logger, beliefsPerSecond),
 		hosts:   map[string]carobthread.HostState{},
+		pool:    pooler.New(),
 	}
 	directory.spread = time.Duration(directory.random.Int64N(int64(options.Pace.Spread) + 1))
 	directory.roles = assigner.New(options.Tracker.View())
@@ -393,6 +421,7 @@
 		Gossip: directory.options.Tracker.Gossip(peer, tracker.Near),
 		Digest: directory.options.Follower.Digest(),
 		Join:   join,
+		Pool:   directory.poolRequestLocked(peer),
 	}
 	directory.mutex.Unlock()
 	if peer == "" {
@@ -411,6 +440,7 @@
 		return
 	}
 	directory.trackLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Audience: tracker.Near, Gossip: answer.Gossip}})
+	directory.poolAnswerLocked(peer, answer.Pool)
 	directory.mutex.Unlock()
 	if answer.Delta == nil {
 		return
@@ -465,7 +495,7 @@
 	defer directory.mutex.Unlock()
 	directory.trackLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Audience: tracker.Near, Gossip: request.Gossip}})
 	delta := directory.options.Follower.Missing(request.Digest)
-	answer := followMessage{Delta: &delta, Digest: delta.Digest}
+	answer := followMessage{Delta: &delta, Digest: delta.Digest, Pool: directory.poolLocked(peer, request.Pool)}
 	if directory.freshAt != 0 {
 		answer.AgeMicros = max(1, directory.options.Timer.Now().Sub(directory.freshAt).Microseconds())
 	}
@@ -478,6 +508,45 @@
 	return answer, nil
 }
 
+// poolRequestLocked returns the own observations for the reader of the data centre, or nil for any other peer.
+func (directory *Directory) poolRequestLocked(peer string) *poolMessage {
+	reader, found := directory.roles.First(directory.options.Self.DataCentre)
+	if directory.options.Observer == nil || !found || reader != peer {
+		return nil
+	}
+	if directory.poolHost != reader {
+		directory.poolHost, directory.pooled = reader, 0
+	}
+	return &poolMessage{Observations: directory.options.Observer.Observations(), After: directory.pooled}
+}
+
+// poolLocked adds a host's observations to the pool and returns those of the others with the own ones.
+func (directory *Directory) poolLocked(peer string, request *poolMessage) *poolMessage {
+	if directory.options.Observer == nil || request == nil {
+		return nil
+	}
+	now := directory.options.Timer.Now()
+	directory.pool.Add(now, directory.options.Self.Name, directory.options.Observer.Observations())
+	directory.pool.Add(now, peer, request.Observations)
+	if len(request.Observations) > 0 {
+		directory.options.Observer.Observe(request.Observations)
+	}
+	answer := &poolMessage{}
+	answer.Observations, answer.After = directory.pool.Since(now, peer, request.After)
+	return answer
+}
+
+// poolAnswerLocked takes the observations of the other hosts.
+func (directory *Directory) poolAnswerLocked(peer string, answer *poolMessage) {
+	if answer == nil || directory.options.Observer == nil || peer != directory.poolHost {
+		return
+	}
+	directory.pooled = answer.After
+	if len(answer.Observations) > 0 {
+		directory.options.Observer.Observe(answer.Observations)
+	}
+}
+
 func (directory *Directory) trackLocked(event tracker.Event) {
 	event.At = directory.options.Timer.Now()
 	if directory.options.Tracker.Step(event).View {
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -60,6 +60,9 @@
 	mutex sync.Mutex
 	hosts map[string]*server.Directory
 	tells map[string]uint64
+	// observers and centres hold the observer and the data centre of each host.
+	observers map[string]*sharedObserver
+	centres   map[string]string
 }
 
 type directCaller struct {
@@ -101,6 +104,7 @@
 	started := &directoryFleet{
 		store: &fakeStore{version: 1, refused: map[string]bool{}},
 		hosts: map[string]*server.Directory{}, tells: map[string]uint64{},
+		observers: map[string]*sharedObserver{}, centres: map[string]string{},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -111,7 +115,9 @@
 	clock := timer.New()
 	for index := range hosts {
 		name := fmt.Sprintf("host-%02d", index)
-		self := carobthread.Host{Name: name, DataCentre: fmt.Sprintf("dc-%d", index%3), PeerAddress: name, Incarnation: carobthread.Incarnation{Start: 1}}
+		started.observers[name] = &sharedObserver{}
+		started.centres[name] = fmt.Sprintf("dc-%d", index%3)
+		self := carobthread.Host{Name: name, DataCentre: started.centres[name], PeerAddress: name, Incarnation: carobthread.Incarnation{Start: 1}}
 		directory := server.NewDirectory(server.DirectoryOptions{
 			Self: self, Contacts: []string{"host-00", "host-01"}, Follower: follower.New(platform.Decoder{}),
 			Tracker: tracker.New(self, nil, clock.Now(), uint64(index)), Timer: clock, Peers: &directCaller{fleet: started, host: name},
@@ -123,7 +129,7 @@
 				assert.Check(t, table.Version > started.tells[name], "%s went from version %d to %d", name, started.tells[name], table.Version)
 				started.tells[name] = table.Version
 			},
-			Viewed: func(carobthread.View) {},
+			Viewed: func(carobthread.View) {}, Observer: started.observers[name],
 		})
 		started.mutex.Lock()
 		started.hosts[name] = directory
@@ -196,3 +202,66 @@
 		assert.Check(t, pace.Other+pace.Spread+pace.Retry < freshness, "%v: %+v", freshness, pace)
 	}
 }
+
+// sharedObserver tells its own observations once and keeps what it is told.
+type sharedObserver struct {
+	mutex sync.Mutex
+	own   []carobthread.Observation
+	told  []carobthread.Observation
+}
+
+var _ server.Observer = (*sharedObserver)(nil)
+
+func (observer *sharedObserver) Observations() []carobthread.Observation {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	own := observer.own
+	observer.own = nil
+	return own
+}
+
+func (observer *sharedObserver) Observe(observations []carobthread.Observation) {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	observer.told = append(observer.told, observations...)
+}
+
+// Guards against observations of one host that the others of its data centre do not hear, that are heard twice, or that
+// reach hosts of other data centres, for which the searcher may answer well.
+func TestDirectorySharesObservations(t *testing.T) {
+	started := startDirectories(t, 9)
+	seen := carobthread.Observation{Searcher: "s", Answered: 1, Failed: 2}
+	for index := range 3 {
+		teller := started.observers[fmt.Sprintf("host-%02d", index)]
+		teller.mutex.Lock()
+		teller.own = []carobthread.Observation{seen}
+		teller.mutex.Unlock()
+		told := func() map[string]int {
+			counts := map[string]int{}
+			for name, observer := range started.observers {
+				observer.mutex.Lock()
+				for _, observation := range observer.told {
+					assert.Check(t, observation == seen, "%s was told %+v", name, observation)
+					counts[name]++
+				}
+				observer.mutex.Unlock()
+			}
+			return counts
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if counts := told(); len(counts) < 2 {
+				return poll.Continue("told %v", counts)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(5*time.Second))
+		time.Sleep(2 * testFreshness / 8)
+		for name, count := range told() {
+			assert.Check(t, count == 1 && started.centres[name] == started.centres[fmt.Sprintf("host-%02d", index)], "%s was told %d times", name, count)
+		}
+		for _, observer := range started.observers {
+			observer.mutex.Lock()
+			observer.told = nil
+			observer.mutex.Unlock()
+		}
+	}
+}
--- a/server/search.go
+++ b/server/search.go
@@ -23,7 +23,7 @@
 	Host    string
 	Decider carobthread.Decider
 	// Counted is the core behind the decider, which may be a recorder.
-	Counted  interface{ Stats() gatherer.Stats }
+	Counted  Counted
 	Timer    carobthread.Timer
 	Upstream carobthread.Upstream
 	Tracer   trace.Tracer
@@ -36,6 +36,14 @@
 	Reported func(report carobthread.ReportArrived)
 }
 
+// Counted is a core that tells what it has counted.
+type Counted interface {
+	// Stats returns the counts since the start.
+	Stats() gatherer.Stats
+	// Observations returns what other hosts should know of the attempts since the last call.
+	Observations() []carobthread.Observation
+}
+
 // Search serves callers' queries; it owns the query path's core.
 type Search struct {
 	options   SearchOptions
@@ -170,6 +178,18 @@
 	search.step(carobthread.Event{Tick: &carobthread.Ticked{LateMicros: late.Microseconds()}})
 }
 
+// Observations returns what other hosts should know of this host's attempts since the last call.
+func (search *Search) Observations() []carobthread.Observation {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return search.options.Counted.Observations()
+}
+
+// Observe passes what other hosts have seen of searchers to the core.
+func (search *Search) Observe(observations []carobthread.Observation) {
+	search.step(carobthread.Event{Peers: &carobthread.PeersObserved{Observations: observations}})
+}
+
 // Search answers one query; a refusal is a connect error that states not-run.
 func (search *Search) Search(ctx context.Context, request *connect.Request[carobthreadv1.SearchRequest]) (*connect.Response[carobthreadv1.SearchResponse], error) {
 	started := search.options.Timer.Now()
