Refuse at once and be not ready where a cut puts required shards out of reach

Ruled out: hedges and the budget; no attempt could reach those shards. Change: a host notices the cut by its first late query, refuses queries whose required shards are in silent data centres as not run, closes their connections and is not ready; exchanges with hosts of those data centres show the end of the cut. One query in three seconds tries all the same. A late reply to a cancelled attempt now shows that its data centre answers.

--- a/errors.go
+++ b/errors.go
@@ -35,6 +35,7 @@
 	ReasonStopping         Reason = "stopping"
 	ReasonNotReady         Reason = "not-ready"
 	ReasonNoReplica        Reason = "no-replica"
+	ReasonCutOff           Reason = "cut-off"
 	ReasonNoSlot           Reason = "no-slot"
 	ReasonTimeout          Reason = "timeout"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
--- a/event.go
+++ b/event.go
@@ -44,6 +44,7 @@
 	Config *ConfigChanged `json:"config,omitempty"`
 	View   *ViewChanged   `json:"view,omitempty"`
 	Peers  *PeersObserved `json:"peers,omitempty"`
+	Reach  *CentreReached `json:"reach,omitempty"`
 	Tick   *Ticked        `json:"tick,omitempty"`
 }
 
@@ -97,6 +98,11 @@
 	View View `json:"view"`
 }
 
+// CentreReached says that another host of a data centre has answered this one.
+type CentreReached struct {
+	DataCentre string `json:"data-centre"`
+}
+
 // PeersObserved tells what other hosts of the data centre have lately seen of searchers.
 type PeersObserved struct {
 	Observations []Observation `json:"observations"`
@@ -220,6 +226,8 @@
 	// Reachable and Required count shards.
 	Reachable int
 	Required  int
+	// CutOff names the data centres that answer nothing.
+	CutOff []string
 }
 
 // SetConnections asks the process to keep this many connections open to a searcher.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -187,6 +187,9 @@
 func (forwarder *Forwarder) answer(writer http.ResponseWriter, choice *router.Choice, end server.Outcome, record *Record) {
 	if end.Refusal != nil {
 		record.Refusal = end.Refusal
+		if end.Refusal.Reason == carobthread.ReasonCutOff {
+			writer.Header().Set("Connection", "close") // the next connection may lead to a host that can serve
+		}
 		forwarder.refuse(writer, record, end.Refusal.Reason, time.Duration(end.Refusal.RetryAfterMicros)*time.Microsecond)
 		return
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -119,7 +119,9 @@
 			found.Rejected = reply(rejected, "seal", "no")
 		}
 	case "refused":
-		found = server.Outcome{Refusal: &carobthread.RefuseQuery{Reason: carobthread.ReasonOverload, RetryAfterMicros: wait.Microseconds()}}
+		reason := string(carobthread.ReasonOverload)
+		data.MaybeScanArgs(t, "reason", &reason)
+		found = server.Outcome{Refusal: &carobthread.RefuseQuery{Reason: carobthread.Reason(reason), RetryAfterMicros: wait.Microseconds()}}
 	default:
 		data.Fatalf(t, "unknown end %s", end)
 	}
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -66,7 +66,8 @@
 	}
 	if refusal := record.Refusal; refusal != nil {
 		line = line.Int("waiting", refusal.Inputs.Waiting).Int64("wait-estimate-us", refusal.Inputs.WaitEstimate.Microseconds()).
-			Int("shards-reachable", refusal.Inputs.Reachable).Int("shards-required", refusal.Inputs.Required)
+			Int("shards-reachable", refusal.Inputs.Reachable).Int("shards-required", refusal.Inputs.Required).
+			Strs("cut-off", refusal.Inputs.CutOff)
 	}
 	if answer := record.Answer; answer != nil {
 		line = line.Uint32("shards-answered", answer.Coverage.Answered).Uint32("shards-total", answer.Coverage.Total).
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -38,6 +38,9 @@
 	groups       map[string]*groupRow
 	retired      []*layoutRow
 	connectAt    carobthread.Instant
+	// probeAt is when the next query may try data centres that are cut off.
+	probeAt carobthread.Instant
+	remote  remoteView
 	// planEpoch changes whenever something that a plan depends on changes.
 	planEpoch uint64
 
@@ -106,6 +109,8 @@
 		gatherer.view(&event.View.View)
 	case event.Peers != nil:
 		gatherer.peersObserved(event.Peers.Observations)
+	case event.Reach != nil:
+		gatherer.centre(event.Reach.DataCentre).reply()
 	case event.Tick != nil:
 		gatherer.tick(event.Tick)
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -52,20 +52,6 @@
 	gatherer.start(service, plan, arrived.Query, deadline)
 }
 
-// reachable returns how many shards of the layout have a searcher that may be sent to.
-func (layout *layoutRow) reachable() int {
-	count := 0
-	for shard := range layout.shards {
-		for i := range layout.shards[shard].replicas {
-			if layout.shards[shard].replicas[i].row.searcher.usable() {
-				count++
-				break
-			}
-		}
-	}
-	return count
-}
-
 func checkArrived(service *serviceRow, arrived *carobthread.QueryArrived) carobthread.Reason {
 	switch {
 	case service == nil || !service.known:
@@ -81,12 +67,8 @@
 // admit refuses a query that cannot reach its coverage floor by its deadline, or that exceeds the service's limit.
 func (gatherer *Gatherer) admit(service *serviceRow, plan *target, arrived *carobthread.QueryArrived, deadline carobthread.Instant) bool {
 	left := deadline.Sub(gatherer.now)
-	if service.config.FloorRequired {
-		inputs := carobthread.RefusalInputs{Reachable: plan.layout.reachable(), Required: service.required(len(plan.layout.shards))}
-		if inputs.Reachable < inputs.Required {
-			gatherer.refuseFor(arrived, carobthread.ReasonNoReplica, noReplicaRetry, inputs)
-			return false
-		}
+	if service.config.FloorRequired && !gatherer.admitReachable(service, plan, arrived) {
+		return false
 	}
 	if left < service.latency.fast {
 		gatherer.refuse(arrived, carobthread.ReasonDeadlineTooShort, 0)
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -26,7 +26,7 @@
 	attempt := gatherer.attempts[reply.Attempt]
 	if attempt == nil {
 		if searcher := gatherer.searchers[reply.Searcher]; searcher != nil && reply.Status == carobthread.ReplyOK {
-			searcher.replied(gatherer.now)
+			gatherer.heard(searcher)
 		}
 		gatherer.countUnknown(reply.Attempt)
 		return
@@ -149,8 +149,7 @@
 		return
 	}
 	if reply.Status != carobthread.ReplyFailed && reply.Status != carobthread.ReplyNotSent {
-		searcher.centre.reply()
-		searcher.replied(gatherer.now)
+		gatherer.heard(searcher)
 	}
 	searcher.noteEnd(gatherer.now, reply.Status != carobthread.ReplyOK)
 	switch reply.Status {
@@ -196,6 +195,7 @@
 		searcher := attempt.replica.searcher
 		if searcher.repliedAt < attempt.sentAt {
 			searcher.stalledUntil = gatherer.now.Add(stallHold)
+			gatherer.noteRemoteLate(attempt)
 		}
 	}
 }
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -84,6 +84,10 @@
 		return run.step(carobthread.Event{Peers: &carobthread.PeersObserved{Observations: []carobthread.Observation{{
 			Searcher: run.text(data, "of", ""), Answered: run.number(data, "answered", 0), Failed: run.number(data, "failed", 0),
 		}}}})
+	case "reach":
+		return run.step(carobthread.Event{Reach: &carobthread.CentreReached{DataCentre: run.text(data, "centre", "")}})
+	case "cut-off":
+		return fmt.Sprintln(run.core.CutOff())
 	case "observations":
 		return fmt.Sprintln(run.core.Observations())
 	case "tick":
@@ -149,7 +153,10 @@
 			}
 		}
 	}
-	return withoutSearcher(config, run.text(data, "drop", ""))
+	for _, name := range strings.Split(run.text(data, "drop", ""), "+") {
+		config = withoutSearcher(config, name)
+	}
+	return config
 }
 
 // view reads hosts=NAME@DATA-CENTRE+...; the first one is this host.
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -203,6 +203,8 @@
 	// hedgeFrom is when hedging may start again after upstreams shed load.
 	hedgeFrom carobthread.Instant
 	waiting   int
+	// cutOff is set while queries are refused because their shards are in data centres that are cut off.
+	cutOff bool
 
 	plan      target
 	planEpoch uint64
--- a/runner/front.go
+++ b/runner/front.go
@@ -255,7 +255,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
-		if !host.ready.Load() || host.stopping.Load() {
+		// The balancer sends callers to another data centre if this one cannot serve them.
+		if !host.ready.Load() || host.stopping.Load() || len(host.search.CutOff()) > 0 {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/server/directory.go
+++ b/server/directory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +105,10 @@
 	Observations() []carobthread.Observation
 	// Observe takes what other hosts have seen.
 	Observe(observations []carobthread.Observation)
+	// CutOff returns the data centres that answer nothing while queries are refused for that.
+	CutOff() []string
+	// Reached tells that a host of the data centre has answered.
+	Reached(dataCentre string)
 }
 
 var _ Observer = (*Search)(nil)
@@ -133,7 +138,9 @@
 	pool     *pooler.Pooler
 	poolHost string
 	pooled   uint64
-	stats    DirectoryStats
+	// cutOff says that queries were refused at the last look because data centres answer nothing.
+	cutOff bool
+	stats  DirectoryStats
 }
 
 // DirectoryStats counts the calls of a Directory.
@@ -441,6 +448,7 @@
 	}
 	directory.trackLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Audience: tracker.Near, Gossip: answer.Gossip}})
 	directory.poolAnswerLocked(peer, answer.Pool)
+	directory.reachedLocked(peer)
 	directory.mutex.Unlock()
 	if answer.Delta == nil {
 		return
@@ -464,6 +472,9 @@
 	// While the readers' news come in time, they are asked; some exchanges go to a random host, which spreads the
 	// membership and the news that a reader has not.
 	directory.turn++
+	if host := directory.cutOffLocked(); host != "" {
+		return host, false
+	}
 	age := now.Sub(directory.freshAt)
 	if directory.turn%randomEvery == 0 || age > directory.options.Pace.Other+directory.options.Pace.Spread {
 		return peer, false
@@ -508,6 +519,37 @@
 	return answer, nil
 }
 
+// cutOffLocked returns, at every other turn, a host of a data centre whose searchers answer nothing, to see when it can
+// be reached again: a host that is not ready gets no requests that would show it.
+func (directory *Directory) cutOffLocked() string {
+	if directory.options.Observer == nil || directory.turn%2 == 0 {
+		return ""
+	}
+	centres := directory.options.Observer.CutOff()
+	if cut := len(centres) > 0; cut != directory.cutOff {
+		directory.cutOff = cut
+		directory.options.Logger.Info().Str("event", "reach-changed").Bool("serving", !cut).Strs("cut-off", centres).
+			Msg("the reach of the required shards changed")
+	}
+	if len(centres) == 0 {
+		return ""
+	}
+	return directory.options.Tracker.Contact(centres[directory.random.IntN(len(centres))])
+}
+
+// reachedLocked tells the query path that a host of a data centre that was cut off has answered.
+func (directory *Directory) reachedLocked(peer string) {
+	if directory.options.Observer == nil {
+		return
+	}
+	centre := directory.options.Tracker.DataCentre(peer)
+	if slices.Contains(directory.options.Observer.CutOff(), centre) {
+		directory.options.Observer.Reached(centre)
+		directory.options.Logger.Info().Str("event", "data-centre-reached").Str("peer", peer).Str("peer-data-centre", centre).
+			Msg("a data centre that was cut off answers")
+	}
+}
+
 // poolRequestLocked returns the own observations for the reader of the data centre, or nil for any other peer.
 func (directory *Directory) poolRequestLocked(peer string) *poolMessage {
 	reader, found := directory.roles.First(directory.options.Self.DataCentre)
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -208,6 +209,8 @@
 	mutex sync.Mutex
 	own   []carobthread.Observation
 	told  []carobthread.Observation
+	// cutOff are the data centres whose searchers answer nothing, until a host of theirs is reached.
+	cutOff []string
 }
 
 var _ server.Observer = (*sharedObserver)(nil)
@@ -226,6 +229,37 @@
 	observer.told = append(observer.told, observations...)
 }
 
+func (observer *sharedObserver) CutOff() []string {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	return slices.Clone(observer.cutOff)
+}
+
+func (observer *sharedObserver) Reached(dataCentre string) {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	observer.cutOff = slices.DeleteFunc(observer.cutOff, func(name string) bool { return name == dataCentre })
+}
+
+// Guards against a host that is not ready because other data centres were cut off, gets no requests that would show that
+// they answer again, and stays out for good.
+func TestDirectoryNoticesTheEndOfACut(t *testing.T) {
+	started := startDirectories(t, 9)
+	for _, observer := range started.observers {
+		observer.mutex.Lock()
+		observer.cutOff = []string{"dc-0", "dc-1", "dc-2"}
+		observer.mutex.Unlock()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for name, observer := range started.observers {
+			if left := observer.CutOff(); len(left) > 0 {
+				return poll.Continue("%s still takes %v for cut off", name, left)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
 // Guards against observations of one host that the others of its data centre do not hear, that are heard twice, or that
 // reach hosts of other data centres, for which the searcher may answer well.
 func TestDirectorySharesObservations(t *testing.T) {
--- a/server/search.go
+++ b/server/search.go
@@ -42,6 +42,8 @@
 	Stats() gatherer.Stats
 	// Observations returns what other hosts should know of the attempts since the last call.
 	Observations() []carobthread.Observation
+	// CutOff returns the data centres that answer nothing while queries are refused for that.
+	CutOff() []string
 }
 
 // Search serves callers' queries; it owns the query path's core.
@@ -190,6 +192,18 @@
 	search.step(carobthread.Event{Peers: &carobthread.PeersObserved{Observations: observations}})
 }
 
+// CutOff returns the data centres that answer nothing while queries are refused for that.
+func (search *Search) CutOff() []string {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return search.options.Counted.CutOff()
+}
+
+// Reached tells the core that a host of the data centre has answered.
+func (search *Search) Reached(dataCentre string) {
+	search.step(carobthread.Event{Reach: &carobthread.CentreReached{DataCentre: dataCentre}})
+}
+
 // Search answers one query; a refusal is a connect error that states not-run.
 func (search *Search) Search(ctx context.Context, request *connect.Request[carobthreadv1.SearchRequest]) (*connect.Response[carobthreadv1.SearchResponse], error) {
 	started := search.options.Timer.Now()
--- a/tracker/neighbours.go
+++ b/tracker/neighbours.go
@@ -85,6 +85,14 @@
 	return tracker.neighbours.names[tracker.random.IntN(len(tracker.neighbours.names))]
 }
 
+// DataCentre returns the data centre of a known host, or "".
+func (tracker *Tracker) DataCentre(host string) string {
+	if row := tracker.table.get(host); row != nil {
+		return row.record.DataCentre
+	}
+	return ""
+}
+
 // Contact returns a random known host of another data centre, for when it has no live reader.
 func (tracker *Tracker) Contact(centre string) string {
 	var names []string
