Share which searchers are silent and avoid those

Cause: searchers that fall silent are found by each host with three late attempts of its own, which takes seconds at one or two attempts a second. Ruled out: ejecting them on the word of others.

--- a/event.go
+++ b/event.go
@@ -108,11 +108,48 @@
 	Observations []Observation `json:"observations"`
 }
 
-// Observation counts the attempts at one searcher that were answered and those that were failed or refused, in a short span.
+// Observation is what one or several hosts have seen of one searcher in a short span.
 type Observation struct {
 	Searcher string `json:"searcher"`
-	Answered int    `json:"answered,omitempty"`
-	Failed   int    `json:"failed,omitempty"`
+	// Answered counts the attempts that were answered, Failed those that were failed or refused.
+	Answered int `json:"answered,omitempty"`
+	Failed   int `json:"failed,omitempty"`
+	// Late counts the attempts that were given up as late since the searcher last replied.
+	Late int `json:"late,omitempty"`
+	// FirstLateMicros and LastLateMicros are the ages of the first and the last of these, LastReplyMicros that of the last
+	// reply, or 0 without one.
+	FirstLateMicros int64 `json:"first-late-us,omitempty"`
+	LastLateMicros  int64 `json:"last-late-us,omitempty"`
+	LastReplyMicros int64 `json:"last-reply-us,omitempty"`
+}
+
+// Add joins what another host has seen of the same searcher at the same time.
+func (seen *Observation) Add(other Observation) {
+	seen.Answered += other.Answered
+	seen.Failed += other.Failed
+	if other.Late > 0 {
+		if seen.Late == 0 {
+			seen.LastLateMicros = other.LastLateMicros
+		}
+		seen.FirstLateMicros = max(seen.FirstLateMicros, other.FirstLateMicros)
+		seen.LastLateMicros = min(seen.LastLateMicros, other.LastLateMicros)
+		seen.Late += other.Late
+	}
+	if other.LastReplyMicros != 0 && (seen.LastReplyMicros == 0 || other.LastReplyMicros < seen.LastReplyMicros) {
+		seen.LastReplyMicros = other.LastReplyMicros
+	}
+}
+
+// Aged returns the observation as it stands after that time.
+func (seen Observation) Aged(by time.Duration) Observation {
+	if seen.Late > 0 {
+		seen.FirstLateMicros += by.Microseconds()
+		seen.LastLateMicros += by.Microseconds()
+	}
+	if seen.LastReplyMicros != 0 {
+		seen.LastReplyMicros += by.Microseconds()
+	}
+	return seen
 }
 
 // Ticked passes time; LateMicros is how far the tick came after it was due, in microseconds.
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -185,6 +185,7 @@
 func (searcher *searcherRow) replied(now carobthread.Instant) {
 	searcher.repliedAt = now
 	searcher.stalledUntil = 0
+	searcher.lateFrom, searcher.lateAt, searcher.seen.Late = 0, 0, 0
 }
 
 // noteStalls marks the searchers of late attempts that have answered nothing since those were sent, such as
@@ -195,6 +196,7 @@
 		searcher := attempt.replica.searcher
 		if searcher.repliedAt < attempt.sentAt {
 			searcher.stalledUntil = gatherer.now.Add(stallHold)
+			searcher.noteLate(gatherer.now, attempt.sentAt)
 			gatherer.noteRemoteLate(attempt)
 		}
 	}
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -83,6 +83,8 @@
 	case "peers":
 		return run.step(carobthread.Event{Peers: &carobthread.PeersObserved{Observations: []carobthread.Observation{{
 			Searcher: run.text(data, "of", ""), Answered: run.number(data, "answered", 0), Failed: run.number(data, "failed", 0),
+			Late: run.number(data, "late", 0), FirstLateMicros: run.span(data, "first").Microseconds(),
+			LastLateMicros: run.span(data, "last").Microseconds(), LastReplyMicros: run.span(data, "replied").Microseconds(),
 		}}}})
 	case "reach":
 		return run.step(carobthread.Event{Reach: &carobthread.CentreReached{DataCentre: run.text(data, "centre", "")}})
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -134,6 +134,12 @@
 	// seen counts the own attempts since they were last told to other hosts, which they are until tellUntil.
 	seen      carobthread.Observation
 	tellUntil carobthread.Instant
+	// lateFrom and lateAt are when the first and the last attempt were sent that have been late since the last reply, or 0.
+	lateFrom carobthread.Instant
+	lateAt   carobthread.Instant
+	// peersLateFrom and peersRepliedAt are the same of other hosts.
+	peersLateFrom  carobthread.Instant
+	peersRepliedAt carobthread.Instant
 	// repliedAt is the last reply; stalledUntil is set while late attempts show that the searcher answers nothing.
 	repliedAt    carobthread.Instant
 	stalledUntil carobthread.Instant
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -62,8 +62,7 @@
 		for _, seen := range told.observations {
 			sum := sums[seen.Searcher]
 			sum.Searcher = seen.Searcher
-			sum.Answered += seen.Answered
-			sum.Failed += seen.Failed
+			sum.Add(seen.Aged(now.Sub(told.at)))
 			sums[seen.Searcher] = sum
 		}
 	}
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -21,12 +21,16 @@
 			for _, line := range strings.Split(data.Input, "\n") {
 				fields := strings.Fields(line)
 				switch fields[0] {
-				case "add": // add HOST SEARCHER:ANSWERED:FAILED...
+				case "add": // add HOST SEARCHER:ANSWERED:FAILED[:LATE:FIRST:LAST:REPLY]...
 					var seen []carobthread.Observation
 					for _, field := range fields[2:] {
 						part := strings.Split(field, ":")
 						observation := carobthread.Observation{Searcher: part[0]}
-						_, err := fmt.Sscan(part[1]+" "+part[2], &observation.Answered, &observation.Failed)
+						counts := []any{
+							&observation.Answered, &observation.Failed, &observation.Late,
+							&observation.FirstLateMicros, &observation.LastLateMicros, &observation.LastReplyMicros,
+						}
+						_, err := fmt.Sscan(strings.Join(part[1:], " "), counts[:len(part)-1]...)
 						if err != nil {
 							data.Fatalf(t, "%s: %v", line, err)
 						}
