Bound the callers' waiting and the leaving of searchers in the soak

The soak checked bookings, seals, coverage and recovery, but neither how long a caller was kept nor that searchers that leave get nothing more. The first host, which no trouble stops, must now end each request a second after its time limit at the latest; a searcher that leaves while hosts and store are left alone gets nothing after the hosts' freshness.

--- a/cmd/carobthreadd/front_test.go
+++ b/cmd/carobthreadd/front_test.go
@@ -28,14 +28,16 @@
 
 // Sizes of the test's deployment.
 const (
-	frontHosts     = 3
-	frontShards    = 4
-	frontReplicas  = 3
-	frontSlots     = 8
-	frontWork      = 10 * time.Millisecond
-	frontTarget    = 300 * time.Millisecond
-	frontTimeout   = 2 * time.Second
-	shardRecords   = 30
+	frontHosts    = 3
+	frontShards   = 4
+	frontReplicas = 3
+	frontSlots    = 8
+	frontWork     = 10 * time.Millisecond
+	frontTarget   = 300 * time.Millisecond
+	frontTimeout  = 2 * time.Second
+	shardRecords  = 30
+	// frontPatience is how long a caller may be kept beyond its time limit, on a machine that is busy with other tests.
+	frontPatience  = time.Second
 	topRecords     = 20
 	ledgerSearcher = 4
 )
@@ -167,6 +169,7 @@
 	seals      string
 	missing    string
 	retryAfter string
+	took       time.Duration
 	err        error
 }
 
@@ -180,13 +183,15 @@
 	request.GetBody = nil // a request that may not be repeated must not be by this client either
 	request.Header.Set(names.RequestID, id)
 	request.Header.Set(names.TimeLeft, strconv.FormatInt(frontTimeout.Milliseconds(), 10))
+	began := time.Now()
 	response, err := client.Do(request)
 	if err != nil {
-		return reply{err: err}
+		return reply{err: err, took: time.Since(began)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
 	return reply{
+		took:   time.Since(began),
 		status: response.StatusCode, body: content, err: err, seals: response.Header.Get(names.Seals),
 		missing: response.Header.Get(names.MissingShards), retryAfter: response.Header.Get("Retry-After"),
 	}
@@ -234,6 +239,7 @@
 
 func (work *frontLoad) search(client *http.Client, entry *process, id string) {
 	answer := send(client, entry, http.MethodGet, "/search/x?q=1", id, nil)
+	work.bound(entry, id, answer)
 	switch {
 	case answer.err != nil:
 		work.note("search %s at %s: %v", id, entry.name, answer.err)
@@ -261,11 +267,19 @@
 
 func (work *frontLoad) book(client *http.Client, entry *process, id string) {
 	answer := send(client, entry, http.MethodPost, "/book/x", id, []byte("sitter "+id))
+	work.bound(entry, id, answer)
 	work.mutex.Lock()
 	defer work.mutex.Unlock()
 	work.booked[id] = answer
 }
 
+// bound notes a caller who was kept waiting beyond the time limit by the first host, which no test stops.
+func (work *frontLoad) bound(entry *process, id string, answer reply) {
+	if entry == work.started.processes[0] && answer.took > frontTimeout+frontPatience {
+		work.note("request %s at %s was kept waiting for %s", id, entry.name, answer.took)
+	}
+}
+
 func (work *frontLoad) note(format string, arguments ...any) {
 	work.mutex.Lock()
 	defer work.mutex.Unlock()
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -33,9 +34,11 @@
 	// soakTroubles is how many troubles may be under way at once.
 	soakTroubles = 3
 	longestSpell = 2 * time.Second
-	// soakPatience is how long a caller may be kept beyond the time limit of its route by a host that is not stopped.
-	soakPatience = time.Second
 	recoverSpan  = 12 * time.Second
+	// leaveBound is the time after which a searcher that leaves must get no requests, the hosts' default freshness.
+	leaveBound = 3 * time.Second
+	// touchSpan is how long hosts and store must have been left alone before that bound holds.
+	touchSpan = 2 * time.Second
 )
 
 // trouble harms the deployment for a spell and then undoes it.
@@ -52,6 +55,8 @@
 	// hosts holds a token for each host that no trouble stops at present.
 	hosts   chan int
 	version chan uint64
+	// touched is held for reading while a host or the store is troubled, and for writing while neither may be.
+	touched sync.RWMutex
 }
 
 func troubles() []trouble {
@@ -67,6 +72,7 @@
 		{"reload", (*soak).reloadHost},
 		{"configuration", (*soak).changeConfiguration},
 		{"heartbeats-lost", (*soak).loseHeartbeats},
+		{"searcher-leaves", (*soak).leaveSearcher},
 	}
 }
 
@@ -161,7 +167,25 @@
 	proxy.Set(standin.ProxyPass, 0)
 }
 
+// leaveSearcher lets a searcher leave and come back; hosts that are in touch must send it nothing once the bound is over.
+func (run *soak) leaveSearcher(random *rand.Rand, _ time.Duration) {
+	if !run.touched.TryLock() {
+		return
+	}
+	defer run.touched.Unlock()
+	time.Sleep(touchSpan)
+	searcher := run.anySearcher(random)
+	searcher.Drain()
+	time.Sleep(leaveBound)
+	before := searcher.Late()
+	time.Sleep(longestSpell / 4)
+	assert.Check(run.t, searcher.Late() == before, "%s got %d requests long after it had said that it leaves", searcher.ID(), searcher.Late()-before)
+	searcher.Return()
+}
+
 func (run *soak) troubleStoreProxy(random *rand.Rand, spell time.Duration) {
+	run.touched.RLock()
+	defer run.touched.RUnlock()
 	modes := []standin.ProxyMode{standin.ProxyDelay, standin.ProxyReset, standin.ProxySilent, standin.ProxyOneWay}
 	run.started.storeProxy.Set(modes[random.IntN(len(modes))], 200*time.Millisecond)
 	time.Sleep(spell)
@@ -181,6 +205,8 @@
 }
 
 func (run *soak) loseHeartbeats(random *rand.Rand, spell time.Duration) {
+	run.touched.RLock()
+	defer run.touched.RUnlock()
 	searcher := run.anySearcher(random)
 	searcher.Pause(true)
 	run.started.store.Remove("servers/" + searcher.ID())
@@ -189,6 +215,8 @@
 }
 
 func (run *soak) refuseStore(random *rand.Rand, spell time.Duration) {
+	run.touched.RLock()
+	defer run.touched.RUnlock()
 	run.started.store.Refuse([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[random.IntN(2)], random.IntN(3) == 0)
 	time.Sleep(spell)
 	run.started.store.Refuse(0, false)
@@ -196,6 +224,8 @@
 
 // withHost runs a trouble of one host that no other trouble stops, if there is any.
 func (run *soak) withHost(harm func(entry *process)) {
+	run.touched.RLock()
+	defer run.touched.RUnlock()
 	select {
 	case index := <-run.hosts:
 		harm(run.started.processes[index])
--- a/internal/standin/forwarded.go
+++ b/internal/standin/forwarded.go
@@ -40,7 +40,7 @@
 	proxy    *Proxy
 	slots    chan struct{}
 	sequence atomic.Int64
-	born     int64
+	born     atomic.Int64
 	draining atomic.Bool
 	pausing  atomic.Bool
 	cut      atomic.Int64
@@ -61,8 +61,9 @@
 	}
 	searcher := &Forwarded{
 		options: options, address: listener.Addr().String(), slots: make(chan struct{}, options.Slots),
-		born: time.Now().UnixMilli(), stop: make(chan struct{}), runs: map[string]int{},
+		stop: make(chan struct{}), runs: map[string]int{},
 	}
+	searcher.born.Store(time.Now().UnixMilli())
 	if options.Proxied {
 		if searcher.proxy, err = NewProxy(searcher.address); err != nil {
 			return nil, errors.Join(err, listener.Close())
@@ -106,6 +107,13 @@
 	searcher.beat()
 }
 
+// Return makes the searcher register again as one that has just started under its former ID.
+func (searcher *Forwarded) Return() {
+	searcher.born.Store(time.Now().UnixMilli())
+	searcher.draining.Store(false)
+	searcher.beat()
+}
+
 // Late returns the requests that arrived after Drain.
 func (searcher *Forwarded) Late() int64 { return searcher.late.Load() }
 
@@ -147,7 +155,7 @@
 	}
 	content, err := json.Marshal(map[string]any{
 		"service": searcher.options.Group, "address": searcher.address, "zone": searcher.options.DataCentre, "version": "v1",
-		"slots": searcher.options.Slots, "state": state, "coldLeftMs": 0, "sequence": searcher.sequence.Add(1), "born": searcher.born,
+		"slots": searcher.options.Slots, "state": state, "coldLeftMs": 0, "sequence": searcher.sequence.Add(1), "born": searcher.born.Load(),
 	})
 	if err == nil {
 		searcher.options.Store.Put("servers/"+searcher.options.ID, content)
