Send routing tables and long lists compressed between hosts

Cause: one host of a data centre tells a new version to all others; at 100 of them the plain JSON fills its link, and a version was in force after 4.4 to 4.6 of 5 s. Ruled out: the exchange itself, which does not grow with the fleet. Change: tables and lists of 16 entries or more travel as deflated gob; the table is packed once a version. Messages about observations are bounded by the hosts of the data centre.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -13,13 +13,27 @@
 	"carobthread"
 )
 
+// span is how long a statement is told; it outlasts a few exchanges.
+const span = 2 * time.Second
+
 const (
-	// span is how long a statement is told; it outlasts a few exchanges.
-	span = 2 * time.Second
-	// maxTold bounds the searchers in one answer.
-	maxTold = 512
+	// answersBudget bounds the searchers in all answers of one round of exchanges together, since each answer may name every
+	// searcher of the fleet while a fault lasts.
+	answersBudget = 4096
+	leastTold     = 16
 )
 
+// Limit returns how many searchers one message may name in a data centre of so many hosts.
+func Limit(hosts int) int { return max(leastTold, answersBudget/max(1, hosts)) }
+
+// Worst returns the observations with the most failed and late attempts, at most that many.
+func Worst(observations []carobthread.Observation, limit int) []carobthread.Observation {
+	slices.SortStableFunc(observations, func(left, right carobthread.Observation) int {
+		return cmp.Compare(right.Failed+right.Late, left.Failed+left.Late)
+	})
+	return observations[:min(len(observations), limit)]
+}
+
 // statement is what one host has seen since its former one.
 type statement struct {
 	sequence     uint64
@@ -47,10 +61,10 @@
 	pooler.statements = append(pooler.statements, statement{sequence: pooler.sequence, at: now, host: host, observations: observations})
 }
 
-// Since returns what other hosts than the asking one have stated after a sequence number, added up and ordered by
-// searcher, and the number to ask from next; a number that was never given out, such as one of an earlier process,
+// Since returns what other hosts than the asking one have stated after a sequence number, added up, the worst first and no
+// more than the limit, and the number to ask from next; a number that was never given out, such as one of an earlier process,
 // counts as 0.
-func (pooler *Pooler) Since(now carobthread.Instant, asking string, after uint64) ([]carobthread.Observation, uint64) {
+func (pooler *Pooler) Since(now carobthread.Instant, asking string, after uint64, limit int) ([]carobthread.Observation, uint64) {
 	if after > pooler.sequence {
 		after = 0
 	}
@@ -69,5 +83,5 @@
 	found := slices.SortedFunc(maps.Values(sums), func(left, right carobthread.Observation) int {
 		return cmp.Compare(left.Searcher, right.Searcher)
 	})
-	return found[:min(len(found), maxTold)], pooler.sequence
+	return Worst(found, limit), pooler.sequence
 }
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -17,6 +17,9 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			subject, now := pooler.New(), carobthread.Instant(time.Hour)
+			hosts := 1
+			data.MaybeScanArgs(t, "hosts", &hosts)
+			limit := pooler.Limit(hosts)
 			output := &strings.Builder{}
 			for _, line := range strings.Split(data.Input, "\n") {
 				fields := strings.Fields(line)
@@ -48,7 +51,7 @@
 					if _, err := fmt.Sscan(fields[2], &after); err != nil {
 						data.Fatalf(t, "%s: %v", line, err)
 					}
-					found, next := subject.Since(now, fields[1], after)
+					found, next := subject.Since(now, fields[1], after, limit)
 					fmt.Fprintf(output, "%s: %v next %d\n", line, found, next)
 				default:
 					data.Fatalf(t, "unknown command %s", line)
--- a/server/directory.go
+++ b/server/directory.go
@@ -133,11 +133,15 @@
 	// roles are the readers by the present view, spread is this host's place in the range of the others' reads.
 	roles  *assigner.Assigner
 	spread time.Duration
+	// packed is the routing table as it is told to other hosts.
+	packed packedTable
 	// pool holds the observations of the hosts that ask this one; pooled is up to where those of the pool at poolHost are
 	// known.
 	pool     *pooler.Pooler
 	poolHost string
 	pooled   uint64
+	// poolLimit bounds the searchers in one message about observations.
+	poolLimit int
 	// cutOff says that queries were refused at the last look because data centres answer nothing.
 	cutOff bool
 	stats  DirectoryStats
@@ -166,6 +170,9 @@
 	// Delta and AgeMicros, the age of what the answering host knows, are set in an answer.
 	Delta     *follower.Delta `json:"delta,omitempty"`
 	AgeMicros int64           `json:"age-us,omitempty"`
+	// Table and Items are the packed forms of what the Delta then lacks.
+	Table []byte `json:"table,omitempty"`
+	Items []byte `json:"items,omitempty"`
 	// Pool is set between a host and the reader of its data centre.
 	Pool *poolMessage `json:"pool,omitempty"`
 }
@@ -189,6 +196,7 @@
 	}
 	directory.spread = time.Duration(directory.random.Int64N(int64(options.Pace.Spread) + 1))
 	directory.roles = assigner.New(options.Tracker.View())
+	directory.limitPool(options.Tracker.View())
 	directory.firstRead = options.Timer.Now()
 	if len(options.Contacts) > 0 {
 		pace := &directory.options.Pace
@@ -453,6 +461,10 @@
 	if answer.Delta == nil {
 		return
 	}
+	if err := answer.unfold(); err != nil {
+		directory.options.Logger.Warn().Err(err).Str("event", "exchange-ignored").Str("peer", peer).Msg("the answer of a host cannot be read")
+		return
+	}
 	directory.take(func(now carobthread.Instant) follower.Change {
 		if answer.AgeMicros > 0 {
 			age := time.Duration(answer.AgeMicros) * time.Microsecond
@@ -510,6 +522,9 @@
 	if directory.freshAt != 0 {
 		answer.AgeMicros = max(1, directory.options.Timer.Now().Sub(directory.freshAt).Microseconds())
 	}
+	if err := answer.fold(&directory.packed); err != nil {
+		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonUpstreamFailed, Detail: err.Error()}
+	}
 	if request.Join {
 		snapshot := directory.options.Tracker.Snapshot()
 		answer.Gossip = tracker.Gossip{Records: snapshot.Records}
@@ -559,7 +574,18 @@
 	if directory.poolHost != reader {
 		directory.poolHost, directory.pooled = reader, 0
 	}
-	return &poolMessage{Observations: directory.options.Observer.Observations(), After: directory.pooled}
+	own := pooler.Worst(directory.options.Observer.Observations(), directory.poolLimit)
+	return &poolMessage{Observations: own, After: directory.pooled}
+}
+
+func (directory *Directory) limitPool(view carobthread.View) {
+	hosts := 0
+	for i := range view.Hosts {
+		if view.Hosts[i].DataCentre == directory.options.Self.DataCentre {
+			hosts++
+		}
+	}
+	directory.poolLimit = pooler.Limit(hosts)
 }
 
 // poolLocked adds a host's observations to the pool and returns those of the others with the own ones.
@@ -574,7 +600,7 @@
 		directory.options.Observer.Observe(request.Observations)
 	}
 	answer := &poolMessage{}
-	answer.Observations, answer.After = directory.pool.Since(now, peer, request.After)
+	answer.Observations, answer.After = directory.pool.Since(now, peer, request.After, directory.poolLimit)
 	return answer
 }
 
@@ -594,6 +620,7 @@
 	if directory.options.Tracker.Step(event).View {
 		view := directory.options.Tracker.View()
 		directory.roles = assigner.New(view)
+		directory.limitPool(view)
 		directory.logHosts(view)
 		directory.options.Viewed(view)
 	}
