Serve the status of forwarding hosts to operators

carobctl status asked /status, which forwarding hosts did not have: readiness, the data centres that are cut off, version, the age of what is known of the store, counters.

--- a/cmd/carobthreadd/front_test.go
+++ b/cmd/carobthreadd/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -24,6 +25,7 @@
 
 	"carobthread/internal/standin"
 	"carobthread/platform"
+	"carobthread/runner"
 )
 
 // Sizes of the test's deployment.
@@ -436,3 +438,27 @@
 	work.end(t)
 	assert.Equal(t, leaving.Late(), before)
 }
+
+// Guards against a host whose state operators cannot ask for, or that tells an old one.
+func TestFrontTellsItsStatus(t *testing.T) {
+	started := startFront(t)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, entry := range started.processes {
+			response, err := http.Get("http://" + entry.addresses[2] + "/status")
+			if err != nil {
+				return poll.Error(err)
+			}
+			var status runner.FrontStatus
+			err = errors.Join(json.NewDecoder(response.Body).Decode(&status), response.Body.Close())
+			if err != nil {
+				return poll.Error(err)
+			}
+			known := status.Directory
+			if status.Host != entry.name || !status.Ready || status.Stopping || known.Version != 1 || known.Hosts != frontHosts ||
+				known.Searchers != frontShards*frontReplicas+ledgerSearcher || known.KnowledgeAgeMicros < 0 {
+				return poll.Continue("%s tells %+v", entry.name, status)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/runner/front.go
+++ b/runner/front.go
@@ -255,11 +255,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
-		// The balancer sends callers to another data centre if this one cannot serve them.
-		if !host.ready.Load() || host.stopping.Load() || len(host.search.CutOff()) > 0 {
+		if !host.accepts(host.search.CutOff()) {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /status", host.serveStatus)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	operators := &http.Server{Handler: mux, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout}
 	host.listeners.servers = []*http.Server{callers, operators}
--- a/runner/status.go
+++ b/runner/status.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/rs/zerolog"
+
 	"carobthread/executor"
 	"carobthread/gatherer"
 	"carobthread/messenger"
@@ -43,9 +45,50 @@
 }
 
 func (host *Runner) serveStatus(writer http.ResponseWriter, _ *http.Request) {
+	writeStatus(writer, host.Status(), host.logger)
+}
+
+// FrontStatus is what operators see of one host that forwards plain HTTP requests.
+type FrontStatus struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data-centre"`
+	Ready      bool   `json:"ready"`
+	Stopping   bool   `json:"stopping"`
+	// CutOff names the data centres that answer nothing while requests are refused for that.
+	CutOff    []string              `json:"cut-off,omitempty"`
+	Directory server.DirectoryStats `json:"directory"`
+	Queries   gatherer.Stats        `json:"queries"`
+	Peers     []messenger.Count     `json:"peers"`
+}
+
+// Status returns what operators see.
+func (host *Front) Status() FrontStatus {
+	cutOff := host.search.CutOff()
+	return FrontStatus{
+		Host:       host.settings.Host.Name,
+		DataCentre: host.settings.Host.DataCentre,
+		Ready:      host.accepts(cutOff),
+		Stopping:   host.stopping.Load(),
+		CutOff:     cutOff,
+		Directory:  host.directory.Stats(),
+		Queries:    host.search.Stats(),
+		Peers:      host.messenger.Meter().Counts(),
+	}
+}
+
+// accepts reports whether the balancer may send callers here: to another data centre if this one cannot serve them.
+func (host *Front) accepts(cutOff []string) bool {
+	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0
+}
+
+func (host *Front) serveStatus(writer http.ResponseWriter, _ *http.Request) {
+	writeStatus(writer, host.Status(), host.logger)
+}
+
+func writeStatus(writer http.ResponseWriter, status any, logger zerolog.Logger) {
 	writer.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(writer).Encode(host.Status()); err != nil {
-		host.logger.Warn().Err(err).Msg("status page not written")
+	if err := json.NewEncoder(writer).Encode(status); err != nil {
+		logger.Warn().Err(err).Str("event", "status-failed").Msg("status page not written")
 	}
 }
 
--- a/server/directory.go
+++ b/server/directory.go
@@ -157,6 +157,8 @@
 	Revision       uint64 `json:"revision"`
 	Searchers      int    `json:"searchers"`
 	Hosts          int    `json:"hosts"`
+	// KnowledgeAgeMicros is the age of what is known of the store, or -1 before the first list.
+	KnowledgeAgeMicros int64 `json:"knowledge-age-us"`
 }
 
 var _ carobthread.PeerHandler = (*Directory)(nil)
@@ -246,6 +248,10 @@
 	stats.Version, stats.Revision = digest.Version, digest.AsOf
 	stats.Searchers = len(directory.options.Follower.Registrations())
 	stats.Hosts = len(directory.options.Tracker.View().Hosts)
+	stats.KnowledgeAgeMicros = -1
+	if directory.freshAt != 0 {
+		stats.KnowledgeAgeMicros = directory.options.Timer.Now().Sub(directory.freshAt).Microseconds()
+	}
 	return stats
 }
 
