Forget replica groups that no version names any more

Each version that cuts the index anew names other groups, whose rows stayed for good. They go once nothing names them and no span of the retry budget counts them.

--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -20,6 +20,8 @@
 	burstQueries = 10
 	// connectEvery is the time between two steps of the connection share.
 	connectEvery = time.Second
+	// groupsEvery is the time between two looks for replica groups that are not named any more.
+	groupsEvery = 10 * time.Second
 )
 
 // configure replaces the configuration; queries in progress keep the layouts that they refer to.
@@ -328,6 +330,10 @@
 		delete(gatherer.services, service.config.Name)
 		return true
 	})
+	if len(gatherer.groups) > 0 && gatherer.now >= gatherer.groupsAt {
+		gatherer.groupsAt = gatherer.now.Add(groupsEvery)
+		gatherer.sweepGroups()
+	}
 	before := len(gatherer.retired)
 	gatherer.retired = slices.DeleteFunc(gatherer.retired, func(layout *layoutRow) bool { return layout.users == 0 })
 	if len(gatherer.retired) != before {
--- a/gatherer/export_test.go
+++ b/gatherer/export_test.go
@@ -26,3 +26,6 @@
 	}
 	return above
 }
+
+// Groups returns the number of replica groups that are kept.
+func (gatherer *Gatherer) Groups() int { return len(gatherer.groups) }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -41,6 +41,8 @@
 	// probeAt is when the next query may try data centres that are cut off.
 	probeAt carobthread.Instant
 	remote  remoteView
+	// groupsAt is when replica groups are next looked through.
+	groupsAt carobthread.Instant
 	// planEpoch changes whenever something that a plan depends on changes.
 	planEpoch uint64
 
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -5,6 +5,7 @@
 // not for the service, since a fault of one group must not spend the budget of another.
 
 import (
+	"maps"
 	"time"
 
 	"carobthread"
@@ -17,6 +18,8 @@
 // groupRow is one replica group with its retry budget.
 type groupRow struct {
 	window limiter.Window
+	// usedAt is the last query or extra attempt.
+	usedAt carobthread.Instant
 	// hedgeFrom is when hedging may start again after a searcher of the group shed load.
 	hedgeFrom carobthread.Instant
 }
@@ -32,7 +35,7 @@
 		if gatherer.configured {
 			began = gatherer.now
 		}
-		row = &groupRow{window: limiter.NewWindow(began)}
+		row = &groupRow{window: limiter.NewWindow(began), usedAt: gatherer.now}
 		gatherer.groups[name] = row
 	}
 	return row
@@ -50,6 +53,7 @@
 func (gatherer *Gatherer) countRequest(layout *layoutRow) {
 	for shard := range layout.shards {
 		if group := layout.shards[shard].group; group != nil {
+			group.usedAt = gatherer.now
 			group.window.Request(gatherer.now)
 		}
 	}
@@ -58,6 +62,7 @@
 // pay takes an extra attempt of that kind from the budget of the shard's group or else of the service.
 func (gatherer *Gatherer) pay(query *queryRow, shard uint32, kind carobthread.AttemptKind) bool {
 	if group := query.current.layout.shards[shard].group; group != nil {
+		group.usedAt = gatherer.now
 		return group.window.Take(gatherer.now)
 	}
 	if kind == carobthread.AttemptHedge {
@@ -66,6 +71,25 @@
 	return query.service.budget.TakeRetry(1)
 }
 
+// sweepGroups removes the groups that no layout names and that no span of the retry budget can still count.
+func (gatherer *Gatherer) sweepGroups() {
+	named := map[*groupRow]bool{}
+	name := func(layouts []*layoutRow) {
+		for _, layout := range layouts {
+			for shard := range layout.shards {
+				named[layout.shards[shard].group] = true
+			}
+		}
+	}
+	for _, service := range gatherer.serviceList {
+		name(service.layouts)
+	}
+	name(gatherer.retired)
+	maps.DeleteFunc(gatherer.groups, func(_ string, group *groupRow) bool {
+		return !named[group] && gatherer.now.Sub(group.usedAt) > 2*gatherer.retryBudget.Window
+	})
+}
+
 // refund returns the payment for an attempt that was not sent.
 func (gatherer *Gatherer) refund(query *queryRow, shard uint32) {
 	if group := query.current.layout.shards[shard].group; group != nil {
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -88,6 +88,8 @@
 		}}}})
 	case "reach":
 		return run.step(carobthread.Event{Reach: &carobthread.CentreReached{DataCentre: run.text(data, "centre", "")}})
+	case "replica-groups":
+		return fmt.Sprintln(run.core.Groups())
 	case "cut-off":
 		return fmt.Sprintln(run.core.CutOff())
 	case "observations":
@@ -151,7 +153,7 @@
 		config.Services[0].CoverageFloor, config.Services[0].FloorRequired = 0.75, true
 		for i := range config.Layouts {
 			for shard := range config.Layouts[i].Shards {
-				config.Layouts[i].Groups = append(config.Layouts[i].Groups, fmt.Sprintf("group-%d", shard))
+				config.Layouts[i].Groups = append(config.Layouts[i].Groups, fmt.Sprintf("%s-%d", run.text(data, "named", "group"), shard))
 			}
 		}
 	}
