Be not ready while all other data centres are cut off

Ruled out: the queues' estimates; the replica left cannot serve more in time. Change: a host that no other data centre answers is not ready and closes connections with their answers, so that the balancer sends callers to hosts with more replicas.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -75,6 +75,8 @@
 	options  Options
 	router   atomic.Pointer[router.Router]
 	stopping atomic.Bool
+	// diverting makes every answer close its connection while callers are better served elsewhere.
+	diverting atomic.Bool
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -88,6 +90,9 @@
 // Stop makes every answer close its connection.
 func (forwarder *Forwarder) Stop() { forwarder.stopping.Store(true) }
 
+// Divert states whether callers are better served by other hosts, so that their connections should end with an answer.
+func (forwarder *Forwarder) Divert(elsewhere bool) { forwarder.diverting.Store(elsewhere) }
+
 // ServeHTTP answers one request.
 func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	record := &Record{ID: request.Header.Get(forwarder.options.Headers.RequestID), Arrived: forwarder.options.Timer.Now()}
@@ -99,7 +104,7 @@
 }
 
 func (forwarder *Forwarder) serve(writer http.ResponseWriter, request *http.Request, record *Record) {
-	if forwarder.stopping.Load() {
+	if forwarder.stopping.Load() || forwarder.diverting.Load() {
 		writer.Header().Set("Connection", "close")
 	}
 	routes := forwarder.router.Load()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -50,6 +50,9 @@
 			if data.HasArg("stopping") {
 				subject.Stop()
 			}
+			if data.HasArg("diverting") {
+				subject.Divert(true)
+			}
 			target, left, body := "/book/1", "", ""
 			data.MaybeScanArgs(t, "target", &target)
 			data.MaybeScanArgs(t, "left", &left)
--- a/gatherer/centre.go
+++ b/gatherer/centre.go
@@ -167,8 +167,27 @@
 	return names
 }
 
-// CutOff returns the data centres that are cut off if queries are refused for that, or none.
+// isolated reports whether nothing answers from any other data centre that has searchers.
+func (gatherer *Gatherer) isolated() bool {
+	others := false
+	for _, searcher := range gatherer.searcherList {
+		if searcher.local || !searcher.usable() {
+			continue
+		}
+		if !searcher.centre.cutOff() {
+			return false
+		}
+		others = true
+	}
+	return others
+}
+
+// CutOff returns the data centres that are cut off if that puts required shards out of reach, or if they are all the
+// others: hosts elsewhere then have more replicas left. Otherwise it returns none.
 func (gatherer *Gatherer) CutOff() []string {
+	if gatherer.isolated() {
+		return gatherer.cutOffCentres()
+	}
 	for _, service := range gatherer.serviceList {
 		if !service.known || !service.cutOff {
 			continue
--- a/runner/status.go
+++ b/runner/status.go
@@ -54,7 +54,7 @@
 	DataCentre string `json:"data-centre"`
 	Ready      bool   `json:"ready"`
 	Stopping   bool   `json:"stopping"`
-	// CutOff names the data centres that answer nothing while requests are refused for that.
+	// CutOff names the data centres that answer nothing while callers are better served by hosts elsewhere.
 	CutOff    []string              `json:"cut-off,omitempty"`
 	Directory server.DirectoryStats `json:"directory"`
 	Queries   gatherer.Stats        `json:"queries"`
@@ -76,8 +76,10 @@
 	}
 }
 
-// accepts reports whether the balancer may send callers here: to another data centre if this one cannot serve them.
+// accepts reports whether the balancer may send callers here; it sends them elsewhere while data centres are cut off, and
+// those with kept connections are told to open new ones.
 func (host *Front) accepts(cutOff []string) bool {
+	host.forwarder.Divert(len(cutOff) > 0)
 	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0
 }
 
--- a/server/directory.go
+++ b/server/directory.go
@@ -105,7 +105,7 @@
 	Observations() []carobthread.Observation
 	// Observe takes what other hosts have seen.
 	Observe(observations []carobthread.Observation)
-	// CutOff returns the data centres that answer nothing while queries are refused for that.
+	// CutOff returns the data centres that answer nothing while callers are better served by hosts elsewhere.
 	CutOff() []string
 	// Reached tells that a host of the data centre has answered.
 	Reached(dataCentre string)
@@ -142,7 +142,7 @@
 	pooled   uint64
 	// poolLimit bounds the searchers in one message about observations.
 	poolLimit int
-	// cutOff says that queries were refused at the last look because data centres answer nothing.
+	// cutOff says that data centres were cut off at the last look.
 	cutOff bool
 	stats  DirectoryStats
 }
@@ -550,7 +550,7 @@
 	if cut := len(centres) > 0; cut != directory.cutOff {
 		directory.cutOff = cut
 		directory.options.Logger.Info().Str("event", "reach-changed").Bool("serving", !cut).Strs("cut-off", centres).
-			Msg("the reach of the required shards changed")
+			Msg("the reach of other data centres changed")
 	}
 	if len(centres) == 0 {
 		return ""
--- a/server/search.go
+++ b/server/search.go
@@ -42,7 +42,7 @@
 	Stats() gatherer.Stats
 	// Observations returns what other hosts should know of the attempts since the last call.
 	Observations() []carobthread.Observation
-	// CutOff returns the data centres that answer nothing while queries are refused for that.
+	// CutOff returns the data centres that answer nothing while callers are better served by hosts elsewhere.
 	CutOff() []string
 }
 
@@ -192,7 +192,7 @@
 	search.step(carobthread.Event{Peers: &carobthread.PeersObserved{Observations: observations}})
 }
 
-// CutOff returns the data centres that answer nothing while queries are refused for that.
+// CutOff returns the data centres that answer nothing while callers are better served by hosts elsewhere.
 func (search *Search) CutOff() []string {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
