Bound the time within which late attempts show a cut

Late attempts at other data centres added up over any time without a reply from there, so that a host with few callers could take itself for cut off. They must now fall into one second.

--- a/gatherer/centre.go
+++ b/gatherer/centre.go
@@ -22,6 +22,8 @@
 	// centre is cut off: their deadlines would show it only after as many lost queries. Searchers of which half are slow or
 	// silent by themselves come to this number by chance once in 256 times.
 	cutAfter = 8
+	// cutSpan is the time within which they must be late, since a host with few callers seldom sends to other data centres.
+	cutSpan = time.Second
 	// silentAfter bad outcomes in a row make a data centre silent; a lost searcher alone reaches this
 	// only if no other searcher of its data centre replies in between.
 	silentAfter  = 6
@@ -40,6 +42,7 @@
 type remoteView struct {
 	// late are the searchers whose attempts are late, though nothing has come from any other data centre since these were sent.
 	late      []*searcherRow
+	lateFrom  carobthread.Instant
 	repliedAt carobthread.Instant
 }
 
@@ -79,7 +82,16 @@
 // noteRemoteLate counts a late attempt at another data centre; all others fall silent together when the own one is cut off.
 func (gatherer *Gatherer) noteRemoteLate(attempt *attemptRow) {
 	searcher, remote := attempt.replica.searcher, &gatherer.remote
-	if searcher.local || attempt.sentAt < max(remote.repliedAt, gatherer.resumedAt) || slices.Contains(remote.late, searcher) {
+	if searcher.local || attempt.sentAt < max(remote.repliedAt, gatherer.resumedAt) {
+		return
+	}
+	if gatherer.now.Sub(remote.lateFrom) > cutSpan {
+		remote.late = remote.late[:0]
+	}
+	if len(remote.late) == 0 {
+		remote.lateFrom = gatherer.now
+	}
+	if slices.Contains(remote.late, searcher) {
 		return
 	}
 	remote.late = append(remote.late, searcher)
