Count the hold of removals from the store's return

After a failed call a host holds removals for 2 s from when it hears of them; news that are late already and the hold exceed the bound together. Ruled out: requests that wait for connections; this one took 8 ms. Change: the hold ends 2 s after the first news since the failed call.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// returnHold is how long a removed entry stands after an outage of the store, in which leases may have run out.
+	// returnHold is how long after the store's return removed entries stand, since leases may have run out in its outage.
 	returnHold = 2 * time.Second
 	// outageSpan is how long after a failed call a removal may stem from the outage.
 	outageSpan = 5 * time.Second
@@ -40,6 +40,8 @@
 	// asOf is the revision of the store up to which everything is known; 0 before the first list.
 	asOf     uint64
 	failedAt carobthread.Instant
+	// returnedAt is when the first news since the last failed call came, from the store or from another host.
+	returnedAt carobthread.Instant
 	// horizon is the lowest revision from which changes can be told completely.
 	horizon uint64
 }
@@ -126,6 +128,7 @@
 
 // Listed takes a complete list of all items.
 func (follower *Follower) Listed(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
+	follower.noteReturn(now, asOf)
 	change := follower.take(now, source, items)
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -144,6 +147,7 @@
 
 // Watched takes the changes since the revision that was known.
 func (follower *Follower) Watched(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
+	follower.noteReturn(now, asOf)
 	change := follower.take(now, source, items)
 	follower.asOf = max(follower.asOf, asOf)
 	return change
@@ -152,6 +156,28 @@
 // Failed notes that the store did not answer or refused a call.
 func (follower *Follower) Failed(now carobthread.Instant) { follower.failedAt = now }
 
+// noteReturn notes the first news after a failed call; searchers write all the time, so that a store which answers anyone
+// has news.
+func (follower *Follower) noteReturn(now carobthread.Instant, asOf uint64) {
+	if asOf > follower.asOf && follower.returnedAt < follower.failedAt {
+		follower.returnedAt = now
+	}
+}
+
+// holdUntil returns until when a removal that is told now is held, or a time that has passed.
+//
+// The hold counts from the store's return and not from the news of the removal, which may come late itself: the sum of
+// both would exceed the bound on searchers that leave.
+func (follower *Follower) holdUntil(now carobthread.Instant) carobthread.Instant {
+	switch {
+	case follower.failedAt == 0 || now.Sub(follower.failedAt) >= outageSpan:
+		return now
+	case follower.returnedAt < follower.failedAt:
+		return now.Add(returnHold)
+	}
+	return follower.returnedAt.Add(returnHold)
+}
+
 // Missing returns what a host with the given digest lacks.
 func (follower *Follower) Missing(asked Digest) Delta {
 	delta := Delta{Digest: follower.Digest()}
@@ -277,7 +303,7 @@
 	}
 }
 
-// remove takes a searcher out at once, or after returnHold if the removal may stem from an outage of the store.
+// remove takes a searcher out at once, or when the hold ends if the removal may stem from an outage of the store.
 func (follower *Follower) remove(now carobthread.Instant, key string, revision uint64, change *Change) {
 	held := follower.entries[key]
 	if held == nil || held.item.Removed || revision <= held.item.Revision {
@@ -285,9 +311,9 @@
 	}
 	held.item.Revision = revision
 	held.changed = revision
-	if follower.failedAt != 0 && now.Sub(follower.failedAt) < outageSpan {
+	if until := follower.holdUntil(now); until > now {
 		if held.removeAt == 0 {
-			held.removeAt = now.Add(returnHold)
+			held.removeAt = until
 			change.note(SearcherHeld, held)
 		}
 		return
