Say shared conditions of the query path, readiness and the stand-in once

Cause: read through once more, the change repeated itself in five places. - The replica group of a shard was looked up by the same path in nine places, and the last start of an attempt had its condition on the floor in three; each is now said in one method. A query without a required floor has its deadline as last start. - Counting reachable shards looked at every replica of a shard for each query; it now stops at the first one in reach. - The test for readiness also told the forwarder to divert callers, so that asking for the status changed it; only the balancer's question does that now. - Roles and the bound on observations are taken from a view in one place, and the tests' loops that follow readiness are one. - The stand-in of the store named two calls of the platform; they stand in platform/. Ruled out: one piece for the other pairs of places that look alike; they share imports, the frame of scripted tests, or a switch over other types.

--- a/cmd/carobthreadd/daemon_test.go
+++ b/cmd/carobthreadd/daemon_test.go
@@ -190,17 +190,22 @@
 	running                         sync.WaitGroup
 }
 
-func (started *site) startLoad() *load {
-	ctx, cancel := context.WithCancel(context.Background())
-	work := &load{done: map[string]carobthreadv1.ExecutionStatus{}, stop: cancel}
-	for _, entry := range started.processes {
-		work.running.Go(func() {
+// followReadiness asks each process for its readiness until the context ends, as a balancer does.
+func followReadiness(ctx context.Context, running *sync.WaitGroup, processes []*process, period time.Duration) {
+	for _, entry := range processes {
+		running.Go(func() {
 			for ctx.Err() == nil {
 				entry.poll()
-				time.Sleep(20 * time.Millisecond)
+				time.Sleep(period)
 			}
 		})
 	}
+}
+
+func (started *site) startLoad() *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	work := &load{done: map[string]carobthreadv1.ExecutionStatus{}, stop: cancel}
+	followReadiness(ctx, &work.running, started.processes, 20*time.Millisecond)
 	const callers = 8
 	for caller := range callers {
 		work.running.Go(func() {
--- a/cmd/carobthreadd/front_test.go
+++ b/cmd/carobthreadd/front_test.go
@@ -214,14 +214,7 @@
 func (started *front) startLoad() *frontLoad {
 	ctx, cancel := context.WithCancel(context.Background())
 	work := &frontLoad{started: started, booked: map[string]reply{}, stop: cancel}
-	for _, entry := range started.processes {
-		work.running.Go(func() {
-			for ctx.Err() == nil {
-				entry.poll()
-				time.Sleep(100 * time.Millisecond)
-			}
-		})
-	}
+	followReadiness(ctx, &work.running, started.processes, 100*time.Millisecond)
 	const callers = 6
 	for caller := range callers {
 		work.running.Go(func() {
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -127,7 +127,7 @@
 	state := &query.current.shards[shard]
 	service := query.service
 	state.checkAt = 0
-	if query.current.layout.shards[shard].group != nil {
+	if query.group(shard) != nil {
 		gatherer.noteStalls(state)
 	}
 	if state.flying >= maxFlights || state.sent >= maxAttempts || state.full(service) || service.config.Once {
--- a/gatherer/centre.go
+++ b/gatherer/centre.go
@@ -109,7 +109,7 @@
 // cutOff reports whether the data centre has been silent and nothing there has answered since.
 func (centre *centreRow) cutOff() bool { return centre.silence > 0 }
 
-// silent reports whether the data centre counts as cut off.
+// silent reports whether the data centre is a last resort at present; it may be tried again while it still counts as cut off.
 func (centre *centreRow) silent(now carobthread.Instant) bool { return now < centre.until }
 
 // centre returns the row of a data centre and makes it if it is new.
@@ -130,7 +130,10 @@
 		for i := range layout.shards[shard].replicas {
 			if searcher := layout.shards[shard].replicas[i].row.searcher; searcher.usable() {
 				hasUsable = true
-				hasConnected = hasConnected || !searcher.centre.cutOff()
+				hasConnected = !searcher.centre.cutOff()
+			}
+			if hasConnected {
+				break
 			}
 		}
 		if hasUsable {
--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -93,8 +93,12 @@
 	return true
 }
 
-// lastStart returns the time from which an attempt could no longer be replied to by the query's deadline.
+// lastStart returns the time from which shards without an attempt in flight are given up: where a floor is required, an
+// attempt could no longer be replied to by the query's deadline, and otherwise it is that deadline.
 func (query *queryRow) lastStart() carobthread.Instant {
+	if !query.service.config.FloorRequired {
+		return query.deadline
+	}
 	return query.deadline.Add(-query.service.latency.fast)
 }
 
@@ -102,7 +106,7 @@
 //
 // Callers of a service with a required floor would otherwise learn only at their deadline that it cannot be met.
 func (gatherer *Gatherer) closeUnstarted(query *queryRow) {
-	if !query.service.config.FloorRequired || gatherer.now < query.lastStart() {
+	if gatherer.now < query.lastStart() {
 		return
 	}
 	for shard := range query.current.shards {
@@ -132,7 +136,7 @@
 	if query.soft > gatherer.now {
 		query.due = min(query.due, query.soft)
 	}
-	if last := query.lastStart(); query.service.config.FloorRequired && last > gatherer.now {
+	if last := query.lastStart(); last > gatherer.now {
 		query.due = min(query.due, last)
 	}
 	for shard := range query.current.shards {
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -26,7 +26,7 @@
 	dataCentre string
 	liveHosts  int
 	localHosts int
-	// budgetHosts is the number of hosts that the retry budgets are divided by: the most that were known lately.
+	// budgetHosts is the number of hosts that the retry budgets are divided by: the most that have been known at once.
 	budgetHosts int
 	retryBudget carobthread.RetryBudget
 	startedAt   carobthread.Instant
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -24,6 +24,9 @@
 	hedgeFrom carobthread.Instant
 }
 
+// group returns the replica group of a shard, or nil.
+func (query *queryRow) group(shard uint32) *groupRow { return query.current.layout.shards[shard].group }
+
 // group returns the row of a group and makes it if it is new; nil for a shard without a group.
 func (gatherer *Gatherer) group(name string) *groupRow {
 	if name == "" {
@@ -61,7 +64,7 @@
 
 // pay takes an extra attempt of that kind from the budget of the shard's group or else of the service.
 func (gatherer *Gatherer) pay(query *queryRow, shard uint32, kind carobthread.AttemptKind) bool {
-	if group := query.current.layout.shards[shard].group; group != nil {
+	if group := query.group(shard); group != nil {
 		group.usedAt = gatherer.now
 		return group.window.Take(gatherer.now)
 	}
@@ -92,7 +95,7 @@
 
 // refund returns the payment for an attempt that was not sent.
 func (gatherer *Gatherer) refund(query *queryRow, shard uint32) {
-	if group := query.current.layout.shards[shard].group; group != nil {
+	if group := query.group(shard); group != nil {
 		group.window.Refund()
 		return
 	}
@@ -101,7 +104,7 @@
 
 // payAgain returns when to try again to pay for an attempt.
 func (gatherer *Gatherer) payAgain(query *queryRow, shard uint32) time.Duration {
-	if query.current.layout.shards[shard].group != nil {
+	if query.group(shard) != nil {
 		return groupPollInterval
 	}
 	return pollInterval
@@ -109,7 +112,7 @@
 
 // hedgeFrom returns when hedging may start again at a shard.
 func (gatherer *Gatherer) hedgeFrom(query *queryRow, shard uint32) carobthread.Instant {
-	if group := query.current.layout.shards[shard].group; group != nil {
+	if group := query.group(shard); group != nil {
 		return group.hedgeFrom
 	}
 	return query.service.hedgeFrom
@@ -118,7 +121,7 @@
 // restHedges keeps hedging off for a while after a searcher of the shard has shed load.
 func (gatherer *Gatherer) restHedges(attempt *attemptRow) {
 	until := gatherer.now.Add(hedgeRest)
-	if group := attempt.query.current.layout.shards[attempt.shard].group; group != nil {
+	if group := attempt.query.group(attempt.shard); group != nil {
 		group.hedgeFrom = until
 		return
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -191,10 +191,7 @@
 	if service.latencyFirst() && !gatherer.options.RandomReplica {
 		query.soft = min(deadline, gatherer.now.Add(service.config.SoftDeadline))
 	}
-	query.due = query.soft
-	if service.config.FloorRequired {
-		query.due = min(query.due, max(gatherer.now, query.lastStart()))
-	}
+	query.due = min(query.soft, max(gatherer.now, query.lastStart()))
 	query.open = len(query.current.shards)
 	gatherer.queries[id] = query
 	gatherer.actions = slices.Grow(gatherer.actions, query.open+1)
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -175,10 +175,11 @@
 func (gatherer *Gatherer) unreached(attempt *attemptRow, state *shardState) {
 	state.sent--
 	state.reached &^= replicaBit(attempt.index)
-	if attempt.kind != carobthread.AttemptFirst && attempt.query.current.layout.shards[attempt.shard].group != nil {
+	first, grouped := attempt.kind == carobthread.AttemptFirst, attempt.query.group(attempt.shard) != nil
+	if grouped && !first {
 		gatherer.refund(attempt.query, attempt.shard)
 	}
-	state.unpaid = attempt.kind == carobthread.AttemptFirst && attempt.query.current.layout.shards[attempt.shard].group != nil
+	state.unpaid = grouped && first
 }
 
 // replied notes an answer of the searcher, which ends a stall.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"carobthread/platform"
 )
 
 // storeHistory is how many changes a Store keeps for watches.
@@ -87,8 +89,8 @@
 		address: listener.Addr().String(), revision: 1, items: map[string]StoredItem{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /carobthread/kv-range", store.list)
-	mux.HandleFunc("GET /carobthread/kv-watch", store.watch)
+	mux.HandleFunc("GET "+platform.ListPath, store.list)
+	mux.HandleFunc("GET "+platform.WatchPath, store.watch)
 	store.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = store.server.Serve(listener) }()
 	return store, nil
--- a/runner/front.go
+++ b/runner/front.go
@@ -255,7 +255,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
-		if !host.accepts(host.search.CutOff()) {
+		cutOff := host.search.CutOff()
+		host.forwarder.Divert(len(cutOff) > 0) // as the balancer diverts new connections
+		if !host.accepts(cutOff) {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/runner/status.go
+++ b/runner/status.go
@@ -76,10 +76,8 @@
 	}
 }
 
-// accepts reports whether the balancer may send callers here; it sends them elsewhere while data centres are cut off, and
-// those with kept connections are told to open new ones.
+// accepts reports whether the balancer may send callers here; it sends them elsewhere while data centres are cut off.
 func (host *Front) accepts(cutOff []string) bool {
-	host.forwarder.Divert(len(cutOff) > 0)
 	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0
 }
 
--- a/server/directory.go
+++ b/server/directory.go
@@ -175,8 +175,7 @@
 		pool:    pooler.New(),
 	}
 	directory.spread = time.Duration(directory.random.Int64N(int64(options.Pace.Spread) + 1))
-	directory.roles = assigner.New(options.Tracker.View())
-	directory.limitPool(options.Tracker.View())
+	directory.takeView(options.Tracker.View())
 	directory.firstRead = options.Timer.Now()
 	if len(options.Contacts) > 0 {
 		pace := &directory.options.Pace
@@ -518,12 +517,23 @@
 	return answer, nil
 }
 
+// takeView works out what depends on the hosts that are known.
+func (directory *Directory) takeView(view carobthread.View) {
+	directory.roles = assigner.New(view)
+	hosts := 0
+	for i := range view.Hosts {
+		if view.Hosts[i].DataCentre == directory.options.Self.DataCentre {
+			hosts++
+		}
+	}
+	directory.poolLimit = pooler.Limit(hosts)
+}
+
 func (directory *Directory) trackLocked(event tracker.Event) {
 	event.At = directory.options.Timer.Now()
 	if directory.options.Tracker.Step(event).View {
 		view := directory.options.Tracker.View()
-		directory.roles = assigner.New(view)
-		directory.limitPool(view)
+		directory.takeView(view)
 		directory.logHosts(view)
 		directory.options.Viewed(view)
 	}
--- a/server/observing.go
+++ b/server/observing.go
@@ -76,16 +76,6 @@
 	return &poolMessage{Observations: own, After: directory.pooled}
 }
 
-func (directory *Directory) limitPool(view carobthread.View) {
-	hosts := 0
-	for i := range view.Hosts {
-		if view.Hosts[i].DataCentre == directory.options.Self.DataCentre {
-			hosts++
-		}
-	}
-	directory.poolLimit = pooler.Limit(hosts)
-}
-
 // poolLocked adds a host's observations to the pool and returns those of the others with the own ones.
 func (directory *Directory) poolLocked(peer string, request *poolMessage) *poolMessage {
 	if directory.options.Observer == nil || request == nil {
