--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"strings"
 
@@ -169,3 +170,25 @@
 	}
 	return names
 }
+
+// Hosts decide alone and by chance whether they hold a searcher, so that spareDeviations standard deviations of their number
+// are kept free of its connections, but no more than all but leastGiven of them.
+const (
+	spareDeviations = 2
+	leastGiven      = 0.25
+)
+
+// Holds reports whether a host is one of those that use a searcher which accepts so many connections from so many hosts.
+//
+// All hosts do while there are no more hosts than connections. Each pair of a host and a searcher decides for itself, so
+// that nothing needs to be known of the other hosts but their number.
+func Holds(host, searcher string, connections, hosts int) bool {
+	if connections <= 0 || hosts <= connections {
+		return true
+	}
+	const hashes = 1 << 32
+	limit := float64(connections)
+	given := max(leastGiven*limit, limit-spareDeviations*math.Sqrt(limit))
+	place := float64(uint32(xxhash.Sum64String(host+"\x00"+searcher))) / hashes
+	return place < given/float64(hosts)
+}
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -111,3 +111,30 @@
 		assert.Assert(t, moved <= assigner.FanOut*depth+1, "%s moved %d of %d", gone, moved, len(before))
 	}
 }
+
+// Load: more hosts than a searcher accepts connections from, which resets what is beyond. Guards against more holders of a
+// searcher than it accepts, against hosts that hold no searcher, and against a choice where there is room for all.
+func TestHoldersFitTheConnections(t *testing.T) {
+	const searchers = 1000
+	for _, size := range []struct{ hosts, connections int }{{300, 68}, {100, 68}, {1000, 30}, {69, 68}} {
+		over, perHost := 0, make([]int, size.hosts)
+		for searcher := range searchers {
+			holders := 0
+			for host := range size.hosts {
+				if assigner.Holds(fmt.Sprintf("host-%d", host), fmt.Sprintf("searcher-%d", searcher), size.connections, size.hosts) {
+					holders++
+					perHost[host]++
+				}
+			}
+			if holders > size.connections {
+				over++
+			}
+		}
+		assert.Check(t, over <= searchers/50, "%+v: %d searchers have more holders than connections", size, over)
+		assert.Check(t, slices.Min(perHost) > 0, "%+v: a host holds no searcher", size)
+	}
+	for host := range 68 {
+		assert.Check(t, assigner.Holds(fmt.Sprintf("host-%d", host), "searcher", 68, 68))
+		assert.Check(t, assigner.Holds(fmt.Sprintf("host-%d", host), "searcher", 0, 6900), "a searcher without a limit")
+	}
+}
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -20,6 +20,8 @@
 	classSaturated
 	// classAvoided would be ejected but for the cap.
 	classAvoided
+	// classUnheld is left to other hosts, whose connections are as many as it accepts.
+	classUnheld
 	// classMayHold last stated only older snapshots than the one asked for and may have loaded it since.
 	classMayHold
 	// classSilent is in a data centre from which nothing has replied lately.
@@ -35,7 +37,7 @@
 // String names the class for logs.
 func (found class) String() string {
 	names := [...]string{
-		"local", "remote", "saturated", "avoided", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "gone",
+		"local", "remote", "saturated", "avoided", "unheld", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "gone",
 	}
 	return names[found]
 }
@@ -195,6 +197,8 @@
 		return classMayHold
 	case searcher.ejection.Avoided(gatherer.now), gatherer.now < searcher.stalledUntil:
 		return classAvoided
+	case searcher.unheld:
+		return classUnheld
 	case searcher.local && searcher.limit.Running() < gatherer.fairShare(searcher):
 		return classLocal
 	}
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/assigner"
 	"carobthread/limiter"
 )
 
@@ -60,6 +61,7 @@
 		row.centre = gatherer.centre(searcher.DataCentre)
 		row.known = true
 		row.local = gatherer.isLocal(row)
+		row.unheld = gatherer.isUnheld(row)
 		row.limit.Resize(searcher.Slots)
 	}
 }
@@ -69,6 +71,10 @@
 	return gatherer.dataCentre == "" || searcher.config.DataCentre == gatherer.dataCentre
 }
 
+func (gatherer *Gatherer) isUnheld(searcher *searcherRow) bool {
+	return !assigner.Holds(gatherer.self, searcher.config.Name, searcher.config.Connections, gatherer.liveHosts)
+}
+
 func (gatherer *Gatherer) configureServices(config *carobthread.Config) {
 	for _, row := range gatherer.serviceList {
 		row.known = false
@@ -241,6 +247,7 @@
 // view takes the own data centre and the number of live entry hosts.
 func (gatherer *Gatherer) view(view *carobthread.View) {
 	live := 0
+	gatherer.self = view.Self
 	for _, host := range view.Hosts {
 		if host.Name == view.Self {
 			gatherer.dataCentre = host.DataCentre
@@ -262,6 +269,7 @@
 	gatherer.localHosts = max(1, gatherer.localHosts)
 	for _, searcher := range gatherer.searcherList {
 		searcher.local = gatherer.isLocal(searcher)
+		searcher.unheld = gatherer.isUnheld(searcher)
 	}
 	gatherer.connect()
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -22,6 +22,7 @@
 	// resumedAt is the end of the last pause; what was observed before it counts as old.
 	resumedAt  carobthread.Instant
 	configured bool
+	self       string
 	dataCentre string
 	liveHosts  int
 	localHosts int
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -157,6 +157,9 @@
 			}
 		}
 	}
+	for i := range config.Searchers {
+		config.Searchers[i].Connections = run.number(data, "connections", config.Searchers[i].Connections)
+	}
 	for _, name := range strings.Split(run.text(data, "drop", ""), "+") {
 		config = withoutSearcher(config, name)
 	}
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -113,10 +113,12 @@
 
 // searcherRow is what this host knows of one searcher; it outlives its configuration while attempts are in flight.
 type searcherRow struct {
-	config   carobthread.Searcher
-	centre   *centreRow
-	known    bool
-	local    bool
+	config carobthread.Searcher
+	centre *centreRow
+	known  bool
+	local  bool
+	// unheld is set while the hosts are more than the searcher accepts connections, and this one leaves it to others.
+	unheld   bool
 	freed    bool
 	limit    limiter.InFlight
 	ejection limiter.Ejection
