--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -41,7 +41,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			names := platform.Headers()
-			clock := timer.New()
+			clock := timer.NewManual(carobthread.At(time.Unix(1, 0)))
 			stub := &stubRunner{clock: clock, outcome: outcome(t, data)}
 			handler := forwarder.New(forwarder.Options{Headers: names, QueryRunner: stub, Timer: clock})
 			if !data.HasArg("no-routing-table") {
