--- a/cmd/carobthreadd/daemon_test.go
+++ b/cmd/carobthreadd/daemon_test.go
@@ -82,9 +82,10 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.Check(t, deployment.Close()) })
 	fleet := &site{deployment: deployment}
+	ports := newPortSequence()
 	dataCentres := []string{"kochi", "kochi", "kollam", "thiruvananthapuram"}
 	for index, dataCentre := range dataCentres {
-		entry := &process{name: fmt.Sprintf("entry-%d", index+1), addresses: freeAddresses(t)}
+		entry := &process{name: fmt.Sprintf("entry-%d", index+1), addresses: ports.addresses(t)}
 		entry.settings = filepath.Join(t.TempDir(), entry.name+".ini")
 		content := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\ncaller-address = %s\npeer-address = %s\noperator-address = %s\n"+
 			"[platform]\naddress = %s\n[stop]\ngrace = 1s\nlimit = 20s\n",
@@ -126,10 +127,17 @@
 	portCount = 8000
 )
 
-func freeAddresses(t *testing.T) (addresses [3]string) {
+// portSequence draws the ports of a test's daemons, each port at most once.
+type portSequence struct{ next int }
+
+func newPortSequence() *portSequence { return &portSequence{next: rand.IntN(portCount)} }
+
+// addresses returns the caller, peer and operator addresses of one daemon, on ports that are free now.
+func (ports *portSequence) addresses(t *testing.T) (addresses [3]string) {
 	t.Helper()
 	for index := 0; index < len(addresses); {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+ports.next)
+		ports.next = (ports.next + 1) % portCount
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -85,8 +85,9 @@
 	fleet.config.Routes = []standin.StoredRoute{searchRoute, bookRoute}
 	assert.NilError(t, fleet.store.PutConfig(&fleet.config))
 	var seeds []string
+	ports := newPortSequence()
 	for index := range hostCount {
-		entry := &process{name: fmt.Sprintf("entry-%d", index+1), addresses: freeAddresses(t)}
+		entry := &process{name: fmt.Sprintf("entry-%d", index+1), addresses: ports.addresses(t)}
 		fleet.processes = append(fleet.processes, entry)
 		seeds = append(seeds, entry.addresses[1])
 	}
