Split the directory by reads, exchanges and state

The reads of the store (store_reads.go) and the exchanges with peers (exchanges.go) now stand in their own files; no declaration was changed.

--- /dev/null
+++ b/server/store_reads.go
@@ -0,0 +1,190 @@
+package server
+
+// The directory reads the store itself when no other host has passed on its changes in time.
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"carobthread"
+	"carobthread/follower"
+	"carobthread/timer"
+)
+
+// watchTimeout limits one watch, so that a lost response or a dead connection is detected well within the time in which a
+// change must be active.
+const watchTimeout = 800 * time.Millisecond
+
+// Timing sets the intervals of a host's reads of the store and of its exchanges with peers.
+//
+// One host of the fleet reads the store, and the others ask their peers for
+// changes. A host whose copy of the store is too old, because the reader is
+// frozen, cut off or refused by the store, reads the store itself.
+type Timing struct {
+	// StartupWait and StartupWaitJitter are how long a starting host waits for its peers before it lists the whole store. A
+	// host that joins a running fleet gets a response within a round trip; hosts that start together cannot serve until the
+	// first of them has waited this long.
+	StartupWait       time.Duration
+	StartupWaitJitter time.Duration
+	// FleetReaderReadAge is the time between two reads by the fleet reader; each response batches the heartbeats of that
+	// time.
+	FleetReaderReadAge time.Duration
+	// CentreReadAge and OtherReadAge are the ages of a host's copy of the store at which the first host of a data centre and
+	// any other host read the store.
+	CentreReadAge time.Duration
+	OtherReadAge  time.Duration
+	// OtherReadJitter is the maximum that each other host adds to OtherReadAge, so that their reads are spread out.
+	OtherReadJitter time.Duration
+	// ExchangeInterval is the mean time between two exchanges with peers.
+	ExchangeInterval time.Duration
+	// RetryInterval and OtherRetryInterval are the mean times between reads while the store does not answer; the latter
+	// applies to hosts with roleOther once they have a copy of the store.
+	RetryInterval      time.Duration
+	OtherRetryInterval time.Duration
+}
+
+// TimingFor returns the timing that keeps every host's copy of the store younger than freshness while the store answers any
+// host.
+func TimingFor(freshness time.Duration) Timing {
+	return Timing{
+		StartupWait:        min(25*time.Millisecond, freshness/10),
+		StartupWaitJitter:  min(75*time.Millisecond, freshness/10),
+		FleetReaderReadAge: freshness / 5,
+		CentreReadAge:      freshness * 2 / 5,
+		OtherReadAge:       freshness * 11 / 20,
+		OtherReadJitter:    freshness / 5,
+		ExchangeInterval:   freshness / 8,
+		RetryInterval:      min(400*time.Millisecond, freshness/6),
+		OtherRetryInterval: freshness / 2,
+	}
+}
+
+// role determines how old a host's copy of the store may be before it reads the store itself.
+type role int
+
+const (
+	roleFleetReader role = iota // the fleet reader
+	roleCentre                  // the first host of another data centre
+	roleOther
+)
+
+// roleLocked returns this host's role in the current view. While hosts' views differ, there may merely be an extra reader.
+func (directory *Directory) roleLocked() role {
+	self := &directory.options.Self
+	if reader, found := directory.roles.FirstReader(self.DataCentre); !found || reader != self.Name {
+		return roleOther
+	}
+	if reader, _ := directory.roles.FleetReader(); reader != self.Name {
+		return roleCentre
+	}
+	return roleFleetReader
+}
+
+// readStore lists the store once and then watches for changes whenever this host's copy is old enough; it lists again if the
+// store no longer has the history since the last read.
+func (directory *Directory) readStore(ctx context.Context) {
+	listed, failed := false, false
+	for ctx.Err() == nil {
+		if wait := directory.untilNextRead(failed); wait > 0 {
+			timer.Sleep(ctx, directory.options.Timer, wait)
+			continue
+		}
+		started := directory.options.Timer.Now()
+		err := directory.read(ctx, listed)
+		if ctx.Err() != nil {
+			return
+		}
+		var failure *carobthread.StoreError
+		failed = err != nil
+		listed = err == nil || listed && (!errors.As(err, &failure) || !failure.HistoryGone)
+		directory.recordRead(err, started)
+	}
+}
+
+// untilNextRead returns the time until this host should read the store again.
+func (directory *Directory) untilNextRead(failed bool) time.Duration {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	now, timing := directory.options.Timer.Now(), &directory.options.Timing
+	if directory.syncedAt == 0 && !failed {
+		return directory.firstRead.Sub(now)
+	}
+	current := directory.roleLocked()
+	bound := [...]time.Duration{roleFleetReader: timing.FleetReaderReadAge, roleCentre: timing.CentreReadAge, roleOther: timing.OtherReadAge + directory.readJitter}[current]
+	wait := directory.syncedAt.Add(bound).Sub(now)
+	if failed {
+		retry := timing.RetryInterval
+		if current == roleOther && directory.syncedAt != 0 {
+			retry = timing.OtherRetryInterval
+		}
+		retry = retry/2 + time.Duration(directory.random.Int64N(int64(retry)))
+		wait = max(wait, directory.lastReadAt.Add(retry).Sub(now))
+	}
+	return wait
+}
+
+func (directory *Directory) read(ctx context.Context, listed bool) error {
+	if !listed {
+		return directory.list(ctx)
+	}
+	directory.mutex.Lock()
+	after := directory.options.Follower.Digest().AsOf
+	directory.mutex.Unlock()
+	changes, err := directory.options.Store.Watch(ctx, after, watchTimeout)
+	if err != nil {
+		return err
+	}
+	directory.applyChange(func(now carobthread.Instant) follower.Change {
+		return directory.options.Follower.ApplyChanges(now, "store", changes.Items, changes.AsOf)
+	})
+	return nil
+}
+
+// list reads all pages; the next watch starts at the first page's revision, so it returns the changes made meanwhile.
+func (directory *Directory) list(ctx context.Context) error {
+	var items []carobthread.StoreItem
+	var asOf uint64
+	after := ""
+	for {
+		page, err := directory.options.Store.List(ctx, "", after)
+		if err != nil {
+			return err
+		}
+		if asOf == 0 {
+			asOf = page.AsOf
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	directory.applyChange(func(now carobthread.Instant) follower.Change {
+		return directory.options.Follower.ApplyList(now, "store", items, asOf)
+	})
+	return nil
+}
+
+// recordRead records the result of a read of the store and logs when the store becomes unreachable or reachable.
+func (directory *Directory) recordRead(err error, started carobthread.Instant) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.stats.Reads++
+	directory.lastReadAt = directory.options.Timer.Now()
+	if err != nil {
+		directory.stats.ReadsFailed++
+		directory.options.Follower.RecordFailure(directory.lastReadAt)
+	} else {
+		directory.syncedAt = max(directory.syncedAt, started)
+	}
+	if directory.storeReachable == (err == nil) {
+		return
+	}
+	directory.storeReachable = err == nil
+	if err != nil {
+		directory.options.Logger.Warn().Err(err).Str("event", "store-lost").Msg("the platform's store does not answer")
+		return
+	}
+	directory.options.Logger.Info().Str("event", "store-regained").Msg("the platform's store answers")
+}
