Log the age of the store's copy at each version and when it is too old

The hypotheses on CONFIG differ in how old a host believes its copy of the store to be. table-active now states the revision and that age, with the same meaning whether the store or a host is the source, and copy-stale and copy-fresh say when the copy becomes older than the freshness, with the failed reads and exchanges so far. No decision changes; tests of server pass.

--- a/server/directory.go
+++ b/server/directory.go
@@ -49,6 +49,8 @@
 	limiter        *logger.Limiter
 	hostStates     map[string]carobthread.HostState
 	storeReachable bool
+	// stale is set while this host's copy of the store is older than Timing.MaxAge.
+	stale bool
 	// firstRead is when this host first reads the store itself if no peer has answered until then.
 	firstRead carobthread.Instant
 	// lastReadAt is the end of the last read.
@@ -184,13 +186,38 @@
 	table := directory.options.Follower.Table()
 	if change.Table {
 		directory.options.Logger.Info().Str("event", "table-active").Uint64("version", table.Version).
-			Int("routes", len(table.Routes)).Str("source", directory.options.Follower.TableSource()).Msg("routing table active")
+			Int("routes", len(table.Routes)).Str("source", directory.options.Follower.TableSource()).
+			Uint64("revision", directory.options.Follower.Digest().AsOf).Int64("knowledge-age-us", now.Sub(directory.syncedAt).Microseconds()).
+			Msg("routing table active")
 	}
 	if table.Version != 0 && (change.Table || change.Searchers) {
 		directory.options.OnChange(table, directory.options.Follower.Registrations())
 	}
 }
 
+// logStaleness logs when the copy of the store becomes older than Timing.MaxAge, and when it is younger again.
+func (directory *Directory) logStaleness() {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if directory.syncedAt == 0 {
+		return
+	}
+	age := directory.options.Timer.Now().Sub(directory.syncedAt)
+	if stale := age > directory.options.Timing.MaxAge; stale == directory.stale {
+		return
+	}
+	directory.stale = !directory.stale
+	event, level := "copy-fresh", zerolog.InfoLevel
+	if directory.stale {
+		event, level = "copy-stale", zerolog.WarnLevel
+	}
+	digest := directory.options.Follower.Digest()
+	directory.options.Logger.WithLevel(level).Str("event", event).Int64("knowledge-age-us", age.Microseconds()).
+		Uint64("version", digest.Version).Uint64("revision", digest.AsOf).Bool("store-reachable", directory.storeReachable).
+		Uint64("exchanges-failed", directory.stats.ExchangesFailed).Uint64("reads-failed", directory.stats.ReadsFailed).
+		Msg("age of the copy of the store changed")
+}
+
 // applyView updates the state that depends on the known hosts.
 func (directory *Directory) applyView(view carobthread.View) {
 	directory.roles = assigner.New(view)
--- a/server/exchanges.go
+++ b/server/exchanges.go
@@ -49,6 +49,7 @@
 	for ctx.Err() == nil {
 		directory.exchange(ctx)
 		directory.applyHeldRemovals()
+		directory.logStaleness()
 		directory.mutex.Lock()
 		period := directory.options.Timing.ExchangeInterval
 		if directory.options.Follower.Digest().Version == 0 {
--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -22,6 +22,8 @@
 // changes. A host whose copy of the store is too old, because the reader is
 // frozen, cut off or refused by the store, reads the store itself.
 type Timing struct {
+	// MaxAge is the age that a host's copy of the store must not exceed while the store answers any host.
+	MaxAge time.Duration
 	// StartupWait and StartupWaitJitter are how long a starting host waits for its peers before it lists the whole store. A
 	// host that joins a running fleet gets a response within a round trip; hosts that start together cannot serve until the
 	// first of them has waited this long.
@@ -48,6 +50,7 @@
 // host.
 func TimingFor(freshness time.Duration) Timing {
 	return Timing{
+		MaxAge:             freshness,
 		StartupWait:        min(25*time.Millisecond, freshness/10),
 		StartupWaitJitter:  min(75*time.Millisecond, freshness/10),
 		FleetReaderReadAge: freshness / 5,
@@ -91,14 +94,14 @@
 			continue
 		}
 		started := directory.options.Timer.Now()
-		err := directory.read(ctx, listed)
+		err := directory.read(ctx, listed, started)
 		if ctx.Err() != nil {
 			return
 		}
 		var failure *carobthread.StoreError
 		failed = err != nil
 		listed = err == nil || listed && (!errors.As(err, &failure) || !failure.HistoryGone)
-		directory.recordRead(err, started)
+		directory.recordRead(err)
 	}
 }
 
@@ -124,9 +127,10 @@
 	return wait
 }
 
-func (directory *Directory) read(ctx context.Context, listed bool) error {
+// read brings the copy of the store up to date with the start of the read.
+func (directory *Directory) read(ctx context.Context, listed bool, started carobthread.Instant) error {
 	if !listed {
-		return directory.list(ctx)
+		return directory.list(ctx, started)
 	}
 	directory.mutex.Lock()
 	after := directory.options.Follower.Digest().AsOf
@@ -136,13 +140,14 @@
 		return err
 	}
 	directory.applyChange(func(now carobthread.Instant) follower.Change {
+		directory.syncedAt = max(directory.syncedAt, started)
 		return directory.options.Follower.ApplyChanges(now, "store", changes.Items, changes.AsOf)
 	})
 	return nil
 }
 
 // list reads all pages; the next watch starts at the first page's revision, so it returns the changes made meanwhile.
-func (directory *Directory) list(ctx context.Context) error {
+func (directory *Directory) list(ctx context.Context, started carobthread.Instant) error {
 	var items []carobthread.StoreItem
 	var asOf uint64
 	after := ""
@@ -161,13 +166,14 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 	directory.applyChange(func(now carobthread.Instant) follower.Change {
+		directory.syncedAt = max(directory.syncedAt, started)
 		return directory.options.Follower.ApplyList(now, "store", items, asOf)
 	})
 	return nil
 }
 
 // recordRead records the result of a read of the store and logs when the store becomes unreachable or reachable.
-func (directory *Directory) recordRead(err error, started carobthread.Instant) {
+func (directory *Directory) recordRead(err error) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.stats.Reads++
@@ -175,8 +181,6 @@
 	if err != nil {
 		directory.stats.ReadsFailed++
 		directory.options.Follower.RecordFailure(directory.lastReadAt)
-	} else {
-		directory.syncedAt = max(directory.syncedAt, started)
 	}
 	if directory.storeReachable == (err == nil) {
 		return
