Close a peer link that is silent while a request waits

Cause: when the open connections of the hosts fall silent without a reset, an exchange with a peer ends after its timeout of 1 s, but the link keeps its connection, so that each later exchange with that peer is lost as well, until TCP gives up after minutes. Hosts then suspect their readers and depend on their own reads of the store. Change: a request that ends at its deadline after 500 ms or more closes the connection if nothing was received on it meanwhile; the next request dials a new one. A link that answers other requests stays. Test: TestReplacesSilentLink failed before (the second call after the silence timed out); TestKeepsLinkThatAnswersOtherRequests guards the other direction.

--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -32,11 +33,13 @@
 	target     string
 	goroutines sync.WaitGroup
 
-	mutex  sync.Mutex
-	mode   ProxyMode
-	delay  time.Duration
-	conns  map[net.Conn]bool
-	closed bool
+	mutex sync.Mutex
+	mode  ProxyMode
+	delay time.Duration
+	conns map[net.Conn]bool
+	// silenced holds the connections that SilenceOpen has silenced.
+	silenced map[net.Conn]bool
+	closed   bool
 }
 
 // NewProxy starts a proxy to a target address on a free loopback port.
@@ -45,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for a proxy: %w", err)
 	}
-	proxy := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	proxy := &Proxy{listener: listener, target: target, conns: map[net.Conn]bool{}, silenced: map[net.Conn]bool{}}
 	proxy.goroutines.Go(proxy.accept)
 	return proxy, nil
 }
@@ -60,6 +63,14 @@
 	proxy.mode, proxy.delay = mode, delay
 }
 
+// SilenceOpen makes the connections that are open now silent for good: they stay open and forward nothing. New connections
+// are not affected.
+func (proxy *Proxy) SilenceOpen() {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	maps.Copy(proxy.silenced, proxy.conns)
+}
+
 // Close stops the proxy and closes its connections.
 func (proxy *Proxy) Close() error {
 	proxy.mutex.Lock()
@@ -113,6 +124,9 @@
 		count, err := from.Read(buffer)
 		proxy.mutex.Lock()
 		mode, delay := proxy.mode, proxy.delay
+		if proxy.silenced[from] {
+			mode = ProxySilent
+		}
 		proxy.mutex.Unlock()
 		switch {
 		case mode == ProxyReset:
@@ -142,6 +156,7 @@
 	for _, conn := range conns {
 		_ = conn.Close()
 		delete(proxy.conns, conn)
+		delete(proxy.silenced, conn)
 	}
 }
 
--- a/messenger/codec.go
+++ b/messenger/codec.go
@@ -21,6 +21,8 @@
 type codec struct {
 	meter *Meter
 	limit atomic.Int64
+	// received counts the frames that have been read, which shows whether the remote end is alive.
+	received atomic.Uint64
 
 	sendMethod string
 	readBytes  int
@@ -65,6 +67,7 @@
 	if _, err := io.ReadFull(stream, content); err != nil {
 		return err
 	}
+	codec.received.Add(1)
 	codec.readBytes = len(content) + len(binary.AppendUvarint(nil, length))
 	return json.Unmarshal(content, object)
 }
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -52,10 +52,30 @@
 		return notRunError(carobthread.ReasonHostUnreachable, err.Error())
 	}
 	id := jsonrpc2.ID{Num: link.sequence.Add(1)}
+	started, received := link.messenger.options.Timer.Now(), codec.received.Load()
 	err = conn.Call(ctx, method, wrapped, result, jsonrpc2.PickID(id))
+	if errors.Is(err, context.DeadlineExceeded) && codec.received.Load() == received {
+		link.closeSilent(conn, link.messenger.options.Timer.Now().Sub(started))
+	}
 	return link.toRequestError(err, codec.finish(id))
 }
 
+// closeSilent closes a connection on which nothing was received while a call waited, if that took at least silenceTimeout.
+// A connection can fall silent for good without a reset, while new ones to the same host work.
+func (link *link) closeSilent(silent *jsonrpc2.Conn, waited time.Duration) {
+	if waited < silenceTimeout {
+		return
+	}
+	link.mutex.Lock()
+	if link.conn == silent {
+		link.conn = nil
+	}
+	link.mutex.Unlock()
+	link.messenger.options.Logger.Info().Str("event", "peer-link-closed").Str("peer", link.name).Int64("silent-us", waited.Microseconds()).
+		Msg("silent connection to another host closed")
+	_ = silent.Close()
+}
+
 func wrap(ctx context.Context, params any) (*envelope, error) {
 	body, err := json.Marshal(params)
 	if err != nil {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -33,7 +33,8 @@
 	dialTimeout        = 500 * time.Millisecond
 	helloTimeout       = time.Second
 	writeTimeout       = 2 * time.Second
-	defaultCallTimeout = 2 * time.Second // for calls whose context has no deadline
+	silenceTimeout     = 500 * time.Millisecond // a live peer responds within milliseconds
+	defaultCallTimeout = 2 * time.Second        // for calls whose context has no deadline
 	idleTimeout        = time.Minute
 	idleCheckPeriod    = 5 * time.Second
 	minBackoff         = 50 * time.Millisecond
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"carobthread"
+	"carobthread/internal/standin"
 	"carobthread/messenger"
 	"carobthread/timer"
 )
@@ -208,6 +209,49 @@
 	}
 }
 
+// Guards against a link that is kept after it has fallen silent, so that every later call to the peer is lost as well.
+func TestReplacesSilentLink(t *testing.T) {
+	_, address := serve(t, handlerFunc(func(context.Context, string, string, json.RawMessage) (any, error) { return 7, nil }))
+	proxy, err := standin.NewProxy(address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, proxy.Close()) })
+	peer := dialler(t, proxy.Address())
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return peer.Call(ctx, "a", "echo", "x", nil)
+	}
+	assert.NilError(t, call())
+	proxy.SilenceOpen()
+	assert.Equal(t, runState(call()), carobthread.MayHaveRun)
+	assert.NilError(t, call())
+}
+
+// Guards against a link that is closed because one slow request timed out, which would fail the other requests on it.
+func TestKeepsLinkThatAnswersOtherRequests(t *testing.T) {
+	release := make(chan struct{})
+	_, address := serve(t, handlerFunc(func(ctx context.Context, _, method string, _ json.RawMessage) (any, error) {
+		if method == "slow" {
+			<-release
+		}
+		return 7, nil
+	}))
+	peer := dialler(t, address)
+	pending := make(chan error, 1)
+	go func() { pending <- peer.Call(t.Context(), "a", "slow", nil, nil) }()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	timedOut := make(chan error, 1)
+	go func() { timedOut <- peer.Call(ctx, "a", "slow", nil, nil) }()
+	for ctx.Err() == nil {
+		assert.NilError(t, peer.Call(t.Context(), "a", "echo", nil, nil))
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, runState(<-timedOut), carobthread.MayHaveRun)
+	close(release)
+	assert.NilError(t, <-pending)
+}
+
 // Guards against a frame that crashes the host or is read beyond its length.
 func FuzzFrame(f *testing.F) {
 	request, err := messenger.EncodeRequest(1, "echo", 5, map[string]int{"x": 1})
