Read the store again at once after a read without a response

What callers saw: requests refused as an older version says more than five seconds after a change had been acknowledged (CONFIG), on hosts that the store answered all the time. Cause: a host that is not the reader keeps an idle connection to the store from an earlier read. When that falls silent, the first read ends after 1.8 s without a response, and the next one waits for a quarter to three quarters of the freshness, as if the store were down. The copy is then older than 5 s, and its maximum age left no room for one lost read. Change: the first read after one that got no response follows at once, on a new connection; a refusal or a second failure waits as before. The watch of a host that is not the fleet reader waits 50 ms instead of 800 ms, so that a dead connection shows after 1.05 s. Test: TestDirectoryReadsAgainAtOnceAfterDeadConnection failed before with 1 watch in 5 s.

--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -193,6 +194,49 @@
 	}
 }
 
+// deadStore gives no response to the first watch, as on a connection that has fallen silent, and counts the watches.
+type deadStore struct{ watches atomic.Int64 }
+
+func (store *deadStore) List(context.Context, string, string) (carobthread.StoreItems, error) {
+	return carobthread.StoreItems{Items: []carobthread.StoreItem{{Key: "op/config", Revision: 1, Content: []byte(`{"version":1}`)}}, AsOf: 1}, nil
+}
+
+func (store *deadStore) Watch(context.Context, uint64, time.Duration) (carobthread.StoreItems, error) {
+	if store.watches.Add(1) == 1 {
+		return carobthread.StoreItems{}, &carobthread.StoreError{Call: "watch", Cause: context.DeadlineExceeded}
+	}
+	return carobthread.StoreItems{AsOf: 1}, nil
+}
+
+// Guards against a host that takes a dead connection for a store that is down and waits before it reads again, while its copy
+// of the store becomes older than the freshness.
+func TestDirectoryReadsAgainAtOnceAfterDeadConnection(t *testing.T) {
+	clock, store := timer.NewManual(carobthread.At(time.Unix(1, 0))), &deadStore{}
+	self := carobthread.Host{Name: "host", DataCentre: "dc", PeerAddress: "host", Incarnation: carobthread.Incarnation{Start: 1}}
+	directory := server.NewDirectory(server.DirectoryOptions{
+		Self: self, Follower: follower.New(platform.Decoder{}), Tracker: tracker.New(self, nil, clock.Now(), 1), Timer: clock,
+		Peers: &directCaller{fleet: &directoryFleet{}, host: "host"}, Store: store, Logger: zerolog.Nop(), Timing: server.TimingFor(testFreshness),
+		OnChange: func(carobthread.RoutingTable, []carobthread.Registration) {}, OnView: func(carobthread.View) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { directory.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	// Time moves until the first watch and stands still from then on.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if store.watches.Load() == 0 {
+			clock.Advance(testFreshness / 100)
+		}
+		if store.watches.Load() < 2 {
+			return poll.Continue("%d watches", store.watches.Load())
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 // Load: all hosts start at the same moment while callers wait. Guards against hosts that have no data and wait too long for
 // each other, and against a timing that lets a host's copy of the store exceed the maximum age while the store answers.
 func TestTimingBounds(t *testing.T) {
--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -12,9 +12,14 @@
 	"carobthread/timer"
 )
 
-// watchTimeout limits one watch, so that a lost response or a dead connection is detected well within the time in which a
-// change must be active.
-const watchTimeout = 800 * time.Millisecond
+const (
+	// fleetReaderWatch is how long a watch of the fleet reader waits for a change, so that a lost response or a dead
+	// connection is detected well within the time in which a change must be active.
+	fleetReaderWatch = 800 * time.Millisecond
+	// catchUpWatch is how long a watch of another host waits; it reads only because it has had no news for long, and a long
+	// wait would delay the detection of a dead connection.
+	catchUpWatch = 50 * time.Millisecond
+)
 
 // Timing sets the intervals of a host's reads of the store and of its exchanges with peers.
 //
@@ -87,9 +92,9 @@
 // readStore lists the store once and then watches for changes whenever this host's copy is old enough; it lists again if the
 // store no longer has the history since the last read.
 func (directory *Directory) readStore(ctx context.Context) {
-	listed, failed := false, false
+	listed, failures := false, failedReads{}
 	for ctx.Err() == nil {
-		if wait := directory.untilNextRead(failed); wait > 0 {
+		if wait := directory.untilNextRead(failures); wait > 0 {
 			timer.Sleep(ctx, directory.options.Timer, wait)
 			continue
 		}
@@ -99,16 +104,41 @@
 			return
 		}
 		var failure *carobthread.StoreError
-		failed = err != nil
 		listed = err == nil || listed && (!errors.As(err, &failure) || !failure.HistoryGone)
+		failures.record(err)
 		directory.recordRead(err)
 	}
 }
 
+// failedReads describes the reads that have failed in a row.
+type failedReads struct {
+	count int
+	// unanswered is set if the store gave no response to the last of them.
+	unanswered bool
+}
+
+func (failures *failedReads) record(err error) {
+	if err == nil {
+		*failures = failedReads{}
+		return
+	}
+	var failure *carobthread.StoreError
+	failures.count++
+	failures.unanswered = errors.As(err, &failure) && failure.Status == 0
+}
+
+// connectionSuspect reports whether the connection may be to blame rather than the store: a connection can fall silent
+// while new ones work.
+func (failures *failedReads) connectionSuspect() bool { return failures.count == 1 && failures.unanswered }
+
 // untilNextRead returns the time until this host should read the store again.
-func (directory *Directory) untilNextRead(failed bool) time.Duration {
+func (directory *Directory) untilNextRead(failures failedReads) time.Duration {
+	if failures.connectionSuspect() {
+		return 0
+	}
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
+	failed := failures.count > 0
 	now, timing := directory.options.Timer.Now(), &directory.options.Timing
 	if directory.syncedAt == 0 && !failed {
 		return directory.firstRead.Sub(now)
@@ -134,8 +164,12 @@
 	}
 	directory.mutex.Lock()
 	after := directory.options.Follower.Digest().AsOf
+	wait := catchUpWatch
+	if directory.roleLocked() == roleFleetReader {
+		wait = fleetReaderWatch
+	}
 	directory.mutex.Unlock()
-	changes, err := directory.options.Store.Watch(ctx, after, watchTimeout)
+	changes, err := directory.options.Store.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
