Take over the age of a peer's copy only with its revisions

Cause, found while tracing CONFIG: a host takes over the age that a peer states for its copy of the store, even if that copy lacks revisions that the host has itself. A peer that was paused or suspended states an age that is too low; hosts that ask it then believe their own copy to be new and put off their reads of the store. Change: the age counts only if the peer's revision is at least the host's own. A copy without a revision that the host has can't be newer. Test: TestDirectoryIgnoresAgeOfOlderCopy failed before (an age of 1us after 380ms without news); 20 runs pass.

--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -208,14 +209,13 @@
 	return carobthread.StoreItems{AsOf: 1}, nil
 }
 
-// Guards against a host that takes a dead connection for a store that is down and waits before it reads again, while its copy
-// of the store becomes older than the freshness.
-func TestDirectoryReadsAgainAtOnceAfterDeadConnection(t *testing.T) {
-	clock, store := timer.NewManual(carobthread.At(time.Unix(1, 0))), &deadStore{}
+// startDirectory runs the directory of one host, "host", on a clock that stands still until the test advances it.
+func startDirectory(t *testing.T, clock *timer.Manual, store carobthread.Store, peers carobthread.Peers, contacts ...string) *server.Directory {
+	t.Helper()
 	self := carobthread.Host{Name: "host", DataCentre: "dc", PeerAddress: "host", Incarnation: carobthread.Incarnation{Start: 1}}
 	directory := server.NewDirectory(server.DirectoryOptions{
-		Self: self, Follower: follower.New(platform.Decoder{}), Tracker: tracker.New(self, nil, clock.Now(), 1), Timer: clock,
-		Peers: &directCaller{fleet: &directoryFleet{}, host: "host"}, Store: store, Logger: zerolog.Nop(), Timing: server.TimingFor(testFreshness),
+		Self: self, Contacts: contacts, Follower: follower.New(platform.Decoder{}), Tracker: tracker.New(self, nil, clock.Now(), 1), Timer: clock,
+		Peers: peers, Store: store, Logger: zerolog.Nop(), Timing: server.TimingFor(testFreshness),
 		OnChange: func(carobthread.RoutingTable, []carobthread.Registration) {}, OnView: func(carobthread.View) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -225,11 +225,28 @@
 		cancel()
 		running.Wait()
 	})
-	// Time moves until the first watch and stands still from then on.
+	return directory
+}
+
+// advanceUntil advances the clock in small steps until the condition holds; the clock stands still from then on.
+func advanceUntil(t *testing.T, clock *timer.Manual, condition func() bool) {
+	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if store.watches.Load() == 0 {
-			clock.Advance(testFreshness / 100)
+		if condition() {
+			return poll.Success()
 		}
+		clock.Advance(testFreshness / 100)
+		return poll.Continue("the condition does not hold")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// Guards against a host that takes a dead connection for a store that is down and waits before it reads again, while its copy
+// of the store becomes older than the freshness.
+func TestDirectoryReadsAgainAtOnceAfterDeadConnection(t *testing.T) {
+	clock, store := timer.NewManual(carobthread.At(time.Unix(1, 0))), &deadStore{}
+	startDirectory(t, clock, store, &directCaller{fleet: &directoryFleet{}, host: "host"})
+	advanceUntil(t, clock, func() bool { return store.watches.Load() > 0 })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if store.watches.Load() < 2 {
 			return poll.Continue("%d watches", store.watches.Load())
 		}
@@ -237,6 +254,45 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
 }
 
+// listOnlyStore serves a list of revision 5 and no watch.
+type listOnlyStore struct{}
+
+func (listOnlyStore) List(context.Context, string, string) (carobthread.StoreItems, error) {
+	return carobthread.StoreItems{Items: []carobthread.StoreItem{{Key: "op/config", Revision: 5, Content: []byte(`{"version":5}`)}}, AsOf: 5}, nil
+}
+
+func (listOnlyStore) Watch(context.Context, uint64, time.Duration) (carobthread.StoreItems, error) {
+	return carobthread.StoreItems{}, &carobthread.StoreError{Call: "watch", Status: http.StatusServiceUnavailable, Cause: errors.New("refused")}
+}
+
+// pausedPeer does not answer until it has resumed, and then answers each exchange with a copy of revision 4 that it believes to
+// be new.
+type pausedPeer struct {
+	resumed   atomic.Bool
+	exchanges atomic.Int64 // since it has resumed
+}
+
+func (peer *pausedPeer) Call(_ context.Context, _, _ string, _, result any) error {
+	if !peer.resumed.Load() {
+		return &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonHostUnreachable}
+	}
+	peer.exchanges.Add(1)
+	return json.Unmarshal([]byte(`{"delta":{"version":4,"as-of":4},"age-us":1}`), result)
+}
+
+// Guards against a host that takes over the age of an older copy than its own from a peer whose process was paused, and
+// therefore reads the store too late.
+func TestDirectoryIgnoresAgeOfOlderCopy(t *testing.T) {
+	clock, peer := timer.NewManual(carobthread.At(time.Unix(1, 0))), &pausedPeer{}
+	directory := startDirectory(t, clock, listOnlyStore{}, peer, "peer")
+	advanceUntil(t, clock, func() bool { return directory.Stats().Version == 5 })
+	listed := clock.Now()
+	peer.resumed.Store(true)
+	advanceUntil(t, clock, func() bool { return peer.exchanges.Load() > 3 })
+	age := time.Duration(directory.Stats().KnowledgeAgeMicros) * time.Microsecond
+	assert.Assert(t, age >= clock.Now().Sub(listed), "%v after %v", age, clock.Now().Sub(listed))
+}
+
 // Load: all hosts start at the same moment while callers wait. Guards against hosts that have no data and wait too long for
 // each other, and against a timing that lets a host's copy of the store exceed the maximum age while the store answers.
 func TestTimingBounds(t *testing.T) {
--- a/server/exchanges.go
+++ b/server/exchanges.go
@@ -100,7 +100,9 @@
 		return
 	}
 	directory.applyChange(func(now carobthread.Instant) follower.Change {
-		if answer.AgeMicros > 0 {
+		// A peer that lacks revisions of this host can't have synced later, whatever age it states: its process may have
+		// been paused since.
+		if answer.AgeMicros > 0 && answer.Delta.AsOf >= directory.options.Follower.Digest().AsOf {
 			age := time.Duration(answer.AgeMicros) * time.Microsecond
 			directory.syncedAt = max(directory.syncedAt, started.Add(-age))
 		}
