Count suspensions of the machine in the age of the store's copy

A host that resumes takes its copy of the store for as new as before, reads the store late and tells other hosts an age that is too low. Test: TestDirectoryCountsSuspensionInAgeOfCopy; without the addition it states an age of some milliseconds after 10 s.

--- a/server/directory.go
+++ b/server/directory.go
@@ -51,6 +51,8 @@
 	storeReachable bool
 	// stale is set while this host's copy of the store is older than Timing.MaxAge.
 	stale bool
+	// The instants below are those of now.
+
 	// firstRead is when this host first reads the store itself if no peer has answered until then.
 	firstRead carobthread.Instant
 	// lastReadAt is the end of the last read.
@@ -104,7 +106,7 @@
 	}
 	directory.readJitter = time.Duration(directory.random.Int64N(int64(options.Timing.OtherReadJitter) + 1))
 	directory.applyView(options.Tracker.View())
-	directory.firstRead = options.Timer.Now()
+	directory.firstRead = directory.now()
 	if len(options.Contacts) > 0 {
 		timing := &directory.options.Timing
 		directory.firstRead = directory.firstRead.Add(timing.StartupWait + time.Duration(directory.random.Int64N(int64(timing.StartupWaitJitter)+1)))
@@ -112,6 +114,16 @@
 	return directory
 }
 
+// now returns the time by which the age of the copy of the store is measured. It includes the time for which the machine was
+// suspended, in which the copy also aged.
+func (directory *Directory) now() carobthread.Instant {
+	now := directory.options.Timer.Now()
+	if meter, ok := directory.options.Timer.(carobthread.SuspensionMeter); ok {
+		now = now.Add(meter.Suspended())
+	}
+	return now
+}
+
 // Run reads the store and exchanges with peers until the context ends.
 func (directory *Directory) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -155,7 +167,7 @@
 	stats.Hosts = len(directory.options.Tracker.View().Hosts)
 	stats.KnowledgeAgeMicros = -1
 	if directory.syncedAt != 0 {
-		stats.KnowledgeAgeMicros = directory.options.Timer.Now().Sub(directory.syncedAt).Microseconds()
+		stats.KnowledgeAgeMicros = directory.now().Sub(directory.syncedAt).Microseconds()
 	}
 	return stats
 }
@@ -174,7 +186,7 @@
 	for _, searcherChange := range change.SearcherChanges {
 		if directory.limiter.Allow(now, string(searcherChange.Event)) {
 			directory.options.Logger.Info().Str("event", string(searcherChange.Event)).Str("searcher", searcherChange.Searcher).Str("group", searcherChange.Group).
-				Uint64("revision", searcherChange.Revision).Int64("knowledge-age-us", now.Sub(directory.syncedAt).Microseconds()).Msg("searcher changed")
+				Uint64("revision", searcherChange.Revision).Int64("knowledge-age-us", directory.now().Sub(directory.syncedAt).Microseconds()).Msg("searcher changed")
 		}
 	}
 	for _, decodeError := range change.DecodeErrors {
@@ -187,7 +199,7 @@
 	if change.Table {
 		directory.options.Logger.Info().Str("event", "table-active").Uint64("version", table.Version).
 			Int("routes", len(table.Routes)).Str("source", directory.options.Follower.TableSource()).
-			Uint64("revision", directory.options.Follower.Digest().AsOf).Int64("knowledge-age-us", now.Sub(directory.syncedAt).Microseconds()).
+			Uint64("revision", directory.options.Follower.Digest().AsOf).Int64("knowledge-age-us", directory.now().Sub(directory.syncedAt).Microseconds()).
 			Msg("routing table active")
 	}
 	if table.Version != 0 && (change.Table || change.Searchers) {
@@ -202,7 +214,7 @@
 	if directory.syncedAt == 0 {
 		return
 	}
-	age := directory.options.Timer.Now().Sub(directory.syncedAt)
+	age := directory.now().Sub(directory.syncedAt)
 	if stale := age > directory.options.Timing.MaxAge; stale == directory.stale {
 		return
 	}
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -293,6 +293,25 @@
 	assert.Assert(t, age >= clock.Now().Sub(listed), "%v after %v", age, clock.Now().Sub(listed))
 }
 
+// Guards against a host that leaves the time of a suspension out of the age of its copy, and tells other hosts that the copy is
+// new.
+func TestDirectoryCountsSuspensionInAgeOfCopy(t *testing.T) {
+	clock := timer.NewManual(carobthread.At(time.Unix(1, 0)))
+	directory := startDirectory(t, clock, listOnlyStore{}, &pausedPeer{}, "peer")
+	advanceUntil(t, clock, func() bool { return directory.Stats().Version == 5 })
+	const suspension = 10 * time.Second
+	clock.Suspend(suspension)
+	content, err := directory.Handle(t.Context(), "peer", server.MethodStoreExchange, []byte(`{}`))
+	assert.NilError(t, err)
+	answer, err := json.Marshal(content)
+	assert.NilError(t, err)
+	var stated struct {
+		AgeMicros int64 `json:"age-us"`
+	}
+	assert.NilError(t, json.Unmarshal(answer, &stated))
+	assert.Assert(t, time.Duration(stated.AgeMicros)*time.Microsecond >= suspension, "%d us", stated.AgeMicros)
+}
+
 // Load: all hosts start at the same moment while callers wait. Guards against hosts that have no data and wait too long for
 // each other, and against a timing that lets a host's copy of the store exceed the maximum age while the store answers.
 func TestTimingBounds(t *testing.T) {
--- a/server/exchanges.go
+++ b/server/exchanges.go
@@ -63,7 +63,7 @@
 }
 
 func (directory *Directory) exchange(ctx context.Context) {
-	started := directory.options.Timer.Now()
+	started := directory.now()
 	directory.mutex.Lock()
 	peer, join := directory.nextPeer(started)
 	request := exchangeMessage{
@@ -157,7 +157,7 @@
 	delta := directory.options.Follower.DeltaFor(request.Digest)
 	answer := exchangeMessage{Delta: &delta, Digest: delta.Digest, Observations: directory.handleObservationsLocked(peer, request.Observations)}
 	if directory.syncedAt != 0 {
-		answer.AgeMicros = max(1, directory.options.Timer.Now().Sub(directory.syncedAt).Microseconds())
+		answer.AgeMicros = max(1, directory.now().Sub(directory.syncedAt).Microseconds())
 	}
 	if err := answer.compress(&directory.tableCache); err != nil {
 		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonUpstreamFailed, Detail: err.Error()}
--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -98,7 +98,7 @@
 			timer.Sleep(ctx, directory.options.Timer, wait)
 			continue
 		}
-		started := directory.options.Timer.Now()
+		started := directory.now()
 		err := directory.read(ctx, listed, started)
 		if ctx.Err() != nil {
 			return
@@ -139,7 +139,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	failed := failures.count > 0
-	now, timing := directory.options.Timer.Now(), &directory.options.Timing
+	now, timing := directory.now(), &directory.options.Timing
 	if directory.syncedAt == 0 && !failed {
 		return directory.firstRead.Sub(now)
 	}
@@ -211,10 +211,10 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.stats.Reads++
-	directory.lastReadAt = directory.options.Timer.Now()
+	directory.lastReadAt = directory.now()
 	if err != nil {
 		directory.stats.ReadsFailed++
-		directory.options.Follower.RecordFailure(directory.lastReadAt)
+		directory.options.Follower.RecordFailure(directory.options.Timer.Now())
 	}
 	if directory.storeReachable == (err == nil) {
 		return
--- a/time.go
+++ b/time.go
@@ -40,6 +40,12 @@
 	Alarm(subscriber Subscriber) Alarm
 }
 
+// SuspensionMeter is an optional ability of a Timer whose time stands still while the machine is suspended.
+type SuspensionMeter interface {
+	// Suspended returns for how long the machine has been suspended since the start of the process.
+	Suspended() time.Duration
+}
+
 // Alarm is a subscription to single ticks, for components that need no ticks while nothing is due.
 type Alarm interface {
 	// Set requests a tick at the given instant and replaces any pending request.
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -9,12 +9,22 @@
 
 // Real is the timer service of a running process; it follows the monotonic clock, so that jumps of the wall clock have no
 // effect.
-type Real struct{ started time.Time }
+type Real struct {
+	started time.Time
+	// suspendedBefore is for how long the machine had been suspended at the creation.
+	suspendedBefore time.Duration
+}
 
-var _ carobthread.Timer = (*Real)(nil)
+var (
+	_ carobthread.Timer           = (*Real)(nil)
+	_ carobthread.SuspensionMeter = (*Real)(nil)
+)
 
 // New returns a timer service that counts from the wall clock time at its creation.
-func New() *Real { return &Real{started: time.Now()} }
+func New() *Real { return &Real{started: time.Now(), suspendedBefore: suspendedSinceBoot()} }
+
+// Suspended returns for how long the machine has been suspended since the creation, which Now leaves out.
+func (timer *Real) Suspended() time.Duration { return max(0, suspendedSinceBoot()-timer.suspendedBefore) }
 
 // Now returns the wall clock time at the creation plus the monotonic time since.
 func (timer *Real) Now() carobthread.Instant {
@@ -114,6 +124,7 @@
 type Manual struct {
 	mutex         sync.Mutex
 	now           carobthread.Instant
+	suspended     time.Duration
 	subscriptions []*subscription
 }
 
@@ -125,7 +136,10 @@
 	once       bool
 }
 
-var _ carobthread.Timer = (*Manual)(nil)
+var (
+	_ carobthread.Timer           = (*Manual)(nil)
+	_ carobthread.SuspensionMeter = (*Manual)(nil)
+)
 
 // NewManual returns a timer service that starts at the given instant.
 func NewManual(start carobthread.Instant) *Manual { return &Manual{now: start} }
@@ -137,6 +151,20 @@
 	return timer.now
 }
 
+// Suspend suspends the machine for the span, which Now leaves out.
+func (timer *Manual) Suspend(span time.Duration) {
+	timer.mutex.Lock()
+	defer timer.mutex.Unlock()
+	timer.suspended += span
+}
+
+// Suspended returns the sum of the spans of Suspend.
+func (timer *Manual) Suspended() time.Duration {
+	timer.mutex.Lock()
+	defer timer.mutex.Unlock()
+	return timer.suspended
+}
+
 // Subscribe ticks the subscriber inside Advance, ordered by due time and then by subscription.
 func (timer *Manual) Subscribe(period time.Duration, subscriber carobthread.Subscriber) (cancel func()) {
 	timer.mutex.Lock()
