List the store again when a watch exceeds the size limit

Cause, read in the code while tracing CONFIG: a watch returns every version since the host's revision in full, and the client cuts each response at 4 MiB. Four versions of 1 MiB in quick succession, or 20 s of changes for a host that was cut off, exceed it; the host then repeats the same watch and takes in nothing until the store has dropped that history. Change: a response that exceeds the limit is reported as such, and the host lists the store, which returns only the newest version. Test: TestDirectoryListsStoreAfterTooLargeWatch (5 versions of 1 MB) failed before: no newer version within 5 s.

--- a/forwarding.go
+++ b/forwarding.go
@@ -104,9 +104,11 @@
 	Call string
 	// Status is the HTTP status of the response, or 0 without one.
 	Status int
-	// HistoryGone is set if the store no longer has the changes after the revision, so that all items must be listed again.
+	// HistoryGone is set if the store no longer has the changes after the revision.
 	HistoryGone bool
-	Cause       error
+	// TooLarge is set if the response exceeds the size limit.
+	TooLarge bool
+	Cause    error
 }
 
 var _ error = (*StoreError)(nil)
@@ -120,6 +122,9 @@
 	return text + ": refused"
 }
 
+// NeedsList reports whether the changes after the revision can't be obtained, so that all items must be listed again.
+func (failure *StoreError) NeedsList() bool { return failure.HistoryGone || failure.TooLarge }
+
 // Unwrap returns the cause.
 func (failure *StoreError) Unwrap() error { return failure.Cause }
 
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +19,7 @@
 
 	"carobthread"
 	"carobthread/follower"
+	"carobthread/internal/standin"
 	"carobthread/platform"
 	"carobthread/server"
 	"carobthread/timer"
@@ -312,6 +314,31 @@
 	assert.Assert(t, time.Duration(stated.AgeMicros)*time.Microsecond >= suspension, "%d us", stated.AgeMicros)
 }
 
+// Guards against a host that repeats the same watch forever when the changes that it lacks exceed the size limit of a response.
+func TestDirectoryListsStoreAfterTooLargeWatch(t *testing.T) {
+	const versions = 5 // of almost 1 MiB each, and a third more in base64
+	store, err := standin.NewStore()
+	assert.NilError(t, err)
+	client := platform.NewStore(store.Address())
+	t.Cleanup(func() {
+		client.Close()
+		assert.Check(t, store.Close())
+	})
+	put := func(version int) {
+		store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"padding":%q}`, version, strings.Repeat("x", 1_000_000)))
+	}
+	put(1)
+	clock := timer.NewManual(carobthread.At(time.Unix(1, 0)))
+	directory := startDirectory(t, clock, client, &pausedPeer{})
+	advanceUntil(t, clock, func() bool { return directory.Stats().Version == 1 })
+	store.SetFailure(http.StatusServiceUnavailable, false)
+	for version := range versions {
+		put(version + 1)
+	}
+	store.SetFailure(0, false)
+	advanceUntil(t, clock, func() bool { return directory.Stats().Version == versions })
+}
+
 // Load: all hosts start at the same moment while callers wait. Guards against hosts that have no data and wait too long for
 // each other, and against a timing that lets a host's copy of the store exceed the maximum age while the store answers.
 func TestTimingBounds(t *testing.T) {
--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -90,7 +90,7 @@
 }
 
 // readStore lists the store once and then watches for changes whenever this host's copy is old enough; it lists again if the
-// store no longer has the history since the last read.
+// changes since the last read are gone or too large for one response.
 func (directory *Directory) readStore(ctx context.Context) {
 	listed, failures := false, failedReads{}
 	for ctx.Err() == nil {
@@ -104,7 +104,7 @@
 			return
 		}
 		var failure *carobthread.StoreError
-		listed = err == nil || listed && (!errors.As(err, &failure) || !failure.HistoryGone)
+		listed = err == nil || listed && (!errors.As(err, &failure) || !failure.NeedsList())
 		failures.record(err)
 		directory.recordRead(err)
 	}
