--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -129,7 +129,9 @@
 
 // connectionSuspect reports whether the connection may be to blame rather than the store: a connection can fall silent
 // while new ones work.
-func (failures *failedReads) connectionSuspect() bool { return failures.count == 1 && failures.unanswered }
+func (failures *failedReads) connectionSuspect() bool {
+	return failures.count == 1 && failures.unanswered
+}
 
 // untilNextRead returns the time until this host should read the store again.
 func (directory *Directory) untilNextRead(failures failedReads) time.Duration {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -24,7 +24,9 @@
 func New() *Real { return &Real{started: time.Now(), suspendedBefore: suspendedSinceBoot()} }
 
 // Suspended returns for how long the machine has been suspended since the creation, which Now leaves out.
-func (timer *Real) Suspended() time.Duration { return max(0, suspendedSinceBoot()-timer.suspendedBefore) }
+func (timer *Real) Suspended() time.Duration {
+	return max(0, suspendedSinceBoot()-timer.suspendedBefore)
+}
 
 // Now returns the wall clock time at the creation plus the monotonic time since.
 func (timer *Real) Now() carobthread.Instant {
