Decode and log the rate limits that searchers name

A searcher in need names the requests a second that it takes from all hosts together (Server-Limit). The header is decoded with the reply, in answers as well as in refusals, but not in a 421, which another searcher sends. Replies carry it to the query core as backpressure, and a searcher-backpressure line states each change.

--- a/caller/http.go
+++ b/caller/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -262,6 +263,9 @@
 		Load:    parseLoad(response.Header.Get(names.Load)),
 	}
 	signature := response.Header.Get(names.Signature)
+	if shed := len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0; response.StatusCode != http.StatusMisdirectedRequest && (shed || signature != "") {
+		reply.Backpressure = &carobthread.Backpressure{RateLimit: parseRateLimit(response.Header.Get(names.RateLimit))}
+	}
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		reply.Status = carobthread.ReplyMisdirected
@@ -294,6 +298,16 @@
 	return &carobthread.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}
 }
 
+// parseRateLimit parses a positive decimal number of requests per second; it returns 0, which means no limit, for any other
+// text.
+func parseRateLimit(text string) float64 {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(limit > 0) || math.IsInf(limit, 0) {
+		return 0
+	}
+	return limit
+}
+
 // keepAliveExpiry returns when the searcher's Keep-Alive header forbids further use of the connection, or 0 without one.
 func (caller *HTTPCaller) keepAliveExpiry(header http.Header) carobthread.Instant {
 	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -148,9 +148,9 @@
 	case err != nil:
 		return "error " + err.Error()
 	case reply.HTTP == nil:
-		return fmt.Sprintf("%s load %v", reply.Status, reply.Load)
+		return fmt.Sprintf("%s load %v%s", reply.Status, reply.Load, describeBackpressure(reply.Backpressure))
 	}
-	return fmt.Sprintf("%s %d %q signature %s load %v", reply.Status, reply.HTTP.Status, reply.HTTP.Body, reply.HTTP.Signature, reply.Load)
+	return fmt.Sprintf("%s %d %q signature %s load %v%s", reply.Status, reply.HTTP.Status, reply.HTTP.Body, reply.HTTP.Signature, reply.Load, describeBackpressure(reply.Backpressure))
 }
 
 // Guards against an at-most-once request on an idle connection that its searcher may have dropped silently.
@@ -303,3 +303,11 @@
 	assert.Equal(t, len(searcher.requests), 3)
 	assert.Equal(t, searcher.connCount, 2)
 }
+
+// describeBackpressure returns nothing for a reply without backpressure.
+func describeBackpressure(stated *carobthread.Backpressure) string {
+	if stated == nil || *stated == (carobthread.Backpressure{}) {
+		return ""
+	}
+	return fmt.Sprintf(" rate limit %v", stated.RateLimit)
+}
--- a/event.go
+++ b/event.go
@@ -70,6 +70,8 @@
 	SnapshotAgeMicros int64 `json:"snapshot-age-us,omitempty"`
 	// Searcher names the sender of a reply to a cancelled attempt, which still proves that the searcher responds.
 	Searcher string `json:"searcher,omitempty"`
+	// Backpressure is what the searcher asks of its callers, or nil if the reply can't state it.
+	Backpressure *Backpressure `json:"backpressure,omitempty"`
 }
 
 // CallerGone reports that no caller waits for the query any more.
--- a/forwarding.go
+++ b/forwarding.go
@@ -149,6 +149,8 @@
 	NotRun string
 	// Load holds the numbers of running requests, queued requests and slots of a searcher.
 	Load string
+	// RateLimit holds the requests per second that a searcher accepts from all hosts together.
+	RateLimit string
 	// Signatures holds the signatures of the replies that an answer merges, MissingShards the number of shards without a reply.
 	Signatures    string
 	MissingShards string
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -143,6 +143,7 @@
 		Tracer:    host.spans.Provider().Tracer("carobthread"),
 		Meter:     host.meter,
 		Linger:    losingAttemptGrace,
+		Logger:    host.logger,
 	})
 	host.forwarder = forwarder.New(forwarder.Options{Headers: headers, QueryRunner: host.search, Timer: host.timer, OnRequestEnd: host.recordRequest})
 	host.buildDirectory()
--- a/server/search.go
+++ b/server/search.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	"carobthread"
 	"carobthread/gatherer"
+	"carobthread/logger"
 	"carobthread/rpc/carobthreadv1"
 )
 
@@ -33,6 +35,8 @@
 	// Linger is how long an attempt whose reply is no longer needed may continue, so that its connection can be reused; 0
 	// cancels it at once.
 	Linger time.Duration
+	// Logger receives the changes of what searchers ask of their callers; the zero value writes nothing.
+	Logger zerolog.Logger
 	// OnReport is called with each report of a searcher; it may be nil.
 	OnReport func(report carobthread.ReportArrived)
 }
@@ -57,7 +61,10 @@
 	searchers map[string]carobthread.Searcher
 	pending   map[carobthread.QueryID]*pendingQuery
 	drains    *drainTracker
-	running   sync.WaitGroup
+	// backpressure is the last backpressure of each searcher that has any.
+	backpressure map[string]carobthread.Backpressure
+	limiter      *logger.Limiter
+	running      sync.WaitGroup
 
 	scheduled carobthread.Scheduled
 	alarm     carobthread.Alarm
@@ -129,6 +136,9 @@
 		searchers: map[string]carobthread.Searcher{},
 		pending:   map[carobthread.QueryID]*pendingQuery{},
 		drains:    newDrainTracker(),
+
+		backpressure: map[string]carobthread.Backpressure{},
+		limiter:      logger.NewLimiter(options.Logger, maxLogLinesPerSecond),
 	}
 }
 
@@ -462,6 +472,7 @@
 		event.Draining = reply.Draining
 		event.HeldSnapshots = reply.HeldSnapshots
 		event.SnapshotAgeMicros = reply.SnapshotAgeMicros
+		event.Backpressure = reply.Backpressure
 	}
 	search.mutex.Lock()
 	if query := search.pending[action.Query]; query != nil {
@@ -478,6 +489,7 @@
 			Searcher: action.Searcher, Healthy: true, Running: reply.Load.Running, Queued: reply.Load.Queued,
 		}})
 	}
+	search.logBackpressureLocked(action.Searcher, event.Backpressure)
 	search.stepLocked(carobthread.Event{Reply: event})
 	if query := search.pending[action.Query]; query != nil {
 		delete(query.cancels, action.Attempt)
--- a/upstream.go
+++ b/upstream.go
@@ -69,6 +69,14 @@
 	HTTP *HTTPReply
 	// Load is the load that the searcher reported, or nil.
 	Load *Load
+	// Backpressure is what the searcher asks of its callers, or nil if the reply can't state it.
+	Backpressure *Backpressure
+}
+
+// Backpressure is what a searcher in need asks of its callers in a reply; it holds until another reply states otherwise.
+type Backpressure struct {
+	// RateLimit is the number of requests per second that the searcher accepts from all hosts together; 0 means no limit.
+	RateLimit float64 `json:"rate-limit,omitempty"`
 }
 
 // Load is a searcher's report of its running requests, queued requests and slots.
