Keep to the rate limits that searchers name

Cause: nothing in the query core kept to the limit; and since it binds the sum over all hosts, a check of each host against the whole limit would not do. Change: each host keeps to an equal share of the limit, by a token bucket that every choice of a searcher asks and every send takes from, so that first attempts, queued ones, retries, hedges and at-most-once requests pass the same gate. Throttled searchers rank after those without a free slot; estimates of the wait, and with them refusals and their Retry-After, count the share.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -23,7 +23,7 @@
 		gatherer.send(query, shard, index, kind, class)
 		return
 	}
-	if class == classSaturated && gatherer.enqueue(query, shard, kind) {
+	if class.waits() && gatherer.enqueue(query, shard, kind) {
 		return
 	}
 	if kind != carobthread.AttemptFirst && gatherer.usesCurrentPolicy() {
@@ -64,6 +64,7 @@
 	gatherer.attempts[attempt.id] = attempt
 	replica.inFlight++
 	replica.searcher.limit.Start()
+	replica.searcher.rate.Take(gatherer.now)
 	state := &query.current.shards[shard]
 	state.inFlightAttempts[state.inFlightCount] = attempt
 	state.inFlightCount++
@@ -145,7 +146,7 @@
 		return
 	}
 	index, class := gatherer.choose(query, shard)
-	if class > classSaturated {
+	if class > classThrottled {
 		return
 	}
 	if index < 0 || !gatherer.takeBudget(query, shard, kind) {
@@ -182,7 +183,7 @@
 	}
 	index, class := gatherer.choose(query, shard)
 	switch {
-	case index >= 0 || class == classSaturated:
+	case index >= 0 || class.waits():
 		if !state.freeRetry && !gatherer.takeBudget(query, shard, carobthread.AttemptRetry) {
 			gatherer.stats.BudgetRefused++
 			gatherer.checkLater(query, state, gatherer.budgetRetryDelay(query, shard))
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -20,6 +20,8 @@
 	classRemote
 	// classSaturated has no free slot; the attempt waits for one rather than going to a replica with bad outcomes.
 	classSaturated
+	// classThrottled has used up this host's share of the rate limit that the searcher names; the attempt waits for a token.
+	classThrottled
 	// classAvoided is stalled, or would be ejected but for the ejection cap.
 	classAvoided
 	// classUnheld accepts fewer connections than there are hosts and is assigned to other hosts.
@@ -42,11 +44,14 @@
 // String returns the name of the class in logs.
 func (class replicaClass) String() string {
 	names := [...]string{
-		"local", "remote", "saturated", "avoided", "unheld", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "gone",
+		"local", "remote", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "gone",
 	}
 	return names[class]
 }
 
+// waits reports whether an attempt waits until a replica of the class can take it.
+func (class replicaClass) waits() bool { return class == classSaturated || class == classThrottled }
+
 const (
 	// reportAge is how long a searcher's reported health and load are used to break ties.
 	reportAge = time.Second
@@ -85,13 +90,19 @@
 			count++
 		}
 	}
-	if best == classSaturated && len(row.waiting) > row.slots() {
+	if best == classThrottled {
+		// A host that is assigned to other searchers, but to none that may take more, must not wait for the few tokens it gets.
+		if unheld := slices.Index(gatherer.classes, classUnheld); unheld >= 0 {
+			return unheld, classUnheld
+		}
+	}
+	if best.waits() && len(row.waiting) > row.slots() {
 		// With a queue this long, even a replica with bad outcomes is likely to reply sooner.
 		if avoided := slices.Index(gatherer.classes, classAvoided); avoided >= 0 {
 			return avoided, classAvoided
 		}
 	}
-	if best > classEjected || best == classSaturated {
+	if best > classEjected || best.waits() {
 		return -1, best
 	}
 	index := gatherer.pick(row, best, count)
@@ -121,7 +132,7 @@
 			continue
 		}
 		latency := gatherer.recentLatency(replica)
-		wait := time.Duration(float64(latency) * float64(len(row.waiting)+1) / float64(replica.searcher.limit.Limit()))
+		wait := time.Duration(float64(len(row.waiting)+1) / gatherer.throughput(replica) * float64(time.Second))
 		if latency > 0 && wait+latency <= left {
 			return true
 		}
@@ -195,6 +206,8 @@
 		return classTried
 	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].atSearcherLimit(query.service):
 		return classTried
+	case !searcher.rate.Allows(gatherer.now):
+		return classThrottled
 	case !replica.row.free():
 		return classSaturated
 	case searcher.ejection.Ejected(gatherer.now):
@@ -350,7 +363,7 @@
 // reasonForClass returns the reason to report for a shard whose best replica class cannot be used.
 func reasonForClass(class replicaClass) carobthread.Reason {
 	switch class {
-	case classSaturated:
+	case classSaturated, classThrottled:
 		return carobthread.ReasonNoSlot
 	case classLacksSnapshot:
 		return carobthread.ReasonSnapshotMissing
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -273,6 +273,7 @@
 	for _, searcher := range gatherer.searcherList {
 		searcher.local = gatherer.isLocal(searcher)
 		searcher.unheld = gatherer.isUnheld(searcher)
+		gatherer.shareRateLimit(searcher)
 	}
 	gatherer.connect()
 }
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -142,13 +142,13 @@
 	for i := range row.replicas {
 		replica := row.replicas[i].row
 		if replica.searcher.usable() {
-			rate += float64(replica.searcher.limit.Limit()) / gatherer.expectedLatency(replica)
+			rate += gatherer.throughput(replica)
 		}
 	}
 	if rate == 0 {
 		return maxLatency
 	}
-	return time.Duration(float64(len(row.waiting)) / rate)
+	return time.Duration(float64(len(row.waiting)) / rate * float64(time.Second))
 }
 
 // expectedLatency returns the replica's latency estimate in nanoseconds, but at least the service's median and at least 1
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -27,8 +27,11 @@
 func (gatherer *Gatherer) reply(reply *carobthread.ReplyArrived) {
 	attempt := gatherer.attempts[reply.Attempt]
 	if attempt == nil {
-		if searcher := gatherer.searchers[reply.Searcher]; searcher != nil && reply.Status == carobthread.ReplyOK {
-			gatherer.recordReply(searcher)
+		if searcher := gatherer.searchers[reply.Searcher]; searcher != nil {
+			gatherer.recordBackpressure(searcher, reply.Backpressure)
+			if reply.Status == carobthread.ReplyOK {
+				gatherer.recordReply(searcher)
+			}
 		}
 		gatherer.countUnknown(reply.Attempt)
 		return
@@ -141,6 +144,7 @@
 // recordOutcome updates the searcher's state from the outcome of an attempt.
 func (gatherer *Gatherer) recordOutcome(attempt *attemptRow, reply *carobthread.ReplyArrived) {
 	searcher := attempt.replica.searcher
+	gatherer.recordBackpressure(searcher, reply.Backpressure)
 	gatherer.recordDraining(searcher, reply.Draining || reply.Status == carobthread.ReplyDraining || reply.Status == carobthread.ReplyMisdirected)
 	if len(reply.HeldSnapshots) > 0 {
 		searcher.listedByReplyAt = gatherer.now
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -206,7 +206,7 @@
 	}
 }
 
-// replies sends replies to attempts=N+N in order; query, shard, snapshot, layout and status override the values that the
+// replies sends replies to attempts=N+N in order, which name the rate-limit; query, shard, snapshot, layout and status override the values that the
 // attempt was sent with.
 func (run *script) replies(data *datadriven.TestData) string {
 	output := ""
@@ -225,6 +225,10 @@
 		reply.Layout = uint32(run.number(data, "layout", int(reply.Layout)))
 		reply.Status = carobthread.ReplyStatus(run.text(data, "status", string(reply.Status)))
 		reply.HeldSnapshots = run.snapshots(data)
+		if data.HasArg("rate-limit") {
+			reply.Searcher = run.sends[reply.Attempt].Searcher
+			reply.Backpressure = &carobthread.Backpressure{RateLimit: float64(run.number(data, "rate-limit", 0))}
+		}
 		output += run.step(carobthread.Event{Reply: &reply})
 	}
 	return output
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -120,9 +120,13 @@
 	known  bool
 	local  bool
 	// unheld is set while there are more hosts than the searcher accepts connections and it is assigned to other hosts.
-	unheld          bool
-	freed           bool
-	limit           limiter.InFlight
+	unheld bool
+	freed  bool
+	limit  limiter.InFlight
+	// rateLimit is the number of requests per second that the searcher accepts from all hosts together, or 0 for no limit;
+	// rate is this host's share.
+	rateLimit       float64
+	rate            limiter.Rate
 	ejection        limiter.Ejection
 	connectionShare limiter.ConnectionShare
 	servedShards    []*shardRow
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -1,7 +1,7 @@
 package gatherer
 
-// Attempts without a free slot wait in a bounded FIFO queue of their shard until a slot is free
-// or the query ends. An extra attempt is charged to the budget before it is queued and refunded
+// Attempts without a free slot, or without a token of a rate limit, wait in a bounded FIFO queue
+// of their shard until there is one or the query ends. An extra attempt is charged to the budget before it is queued and refunded
 // when it leaves the queue.
 
 import (
@@ -111,7 +111,7 @@
 			continue
 		}
 		index, class := gatherer.choose(entry.query, entry.shard)
-		if class == classSaturated {
+		if class.waits() {
 			i++
 			continue
 		}
