--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -66,6 +66,7 @@
 		{"answers-lost", (*soak).dropResponses},
 		{"store-refuses", (*soak).refuseStore},
 		{"store-proxy", (*soak).disruptStoreProxy},
+		{"connections-silenced", (*soak).silenceConnections},
 		{"host-killed", (*soak).killHost},
 		{"host-paused", (*soak).pauseHost},
 		{"host-stopped", (*soak).stopHost},
@@ -195,6 +196,15 @@
 	run.fleet.storeProxy.Set(standin.ProxyPass, 0)
 }
 
+// silenceConnections makes the open connections to the store and to a searcher silent for good, while new ones work.
+func (run *soak) silenceConnections(random *rand.Rand, duration time.Duration) {
+	run.faultLock.RLock()
+	defer run.faultLock.RUnlock()
+	run.fleet.storeProxy.SilenceOpen()
+	run.anySearcher(random).Proxy().SilenceOpen()
+	time.Sleep(duration)
+}
+
 func (run *soak) slowSearcher(random *rand.Rand, duration time.Duration) {
 	searcher := run.anySearcher(random)
 	searcher.SetServiceTime(10 * serviceTime)
