Limit the header and the body of a reply apart

Change: the header has its own limit of 64 KiB, and the body that of the settings; both end the attempt at once and close the connection. Tests: TestHTTPHeaderLimit failed before (read until the deadline).

--- a/caller/http.go
+++ b/caller/http.go
@@ -133,6 +133,7 @@
 	}
 	searcherPool = newPool(searcher.Address, count, Options{})
 	searcherPool.http1Dialer = &net.Dialer{Timeout: maxDialTimeout}
+	searcherPool.maxReplySize = caller.options.MaxReplySize
 	searcherPool.closed = caller.closed
 	searcherPool.leaving = caller.leaving[searcher.Name]
 	caller.pools[searcher.Name] = searcherPool
--- a/caller/http1_conn.go
+++ b/caller/http1_conn.go
@@ -50,15 +50,19 @@
 // reused if such data arrives with the reply, while the connection is idle or
 // before the next request.
 type http1Conn struct {
-	conn     *gatedConn
-	limit    io.LimitedReader
-	reader   *bufio.Reader
-	reuseErr error
+	conn *gatedConn
+	// maxBodySize limits the bytes of a reply's body on the wire, in whatever encoding.
+	maxBodySize int64
+	limit       io.LimitedReader
+	reader      *bufio.Reader
+	reuseErr    error
 }
 
-// newHTTP1Conn returns a client connection over conn; RoundTrip limits the size of each reply including its header.
-func newHTTP1Conn(conn *gatedConn) *http1Conn {
-	client := &http1Conn{conn: conn}
+// newHTTP1Conn returns a client connection over conn that accepts replies up to a size in bytes; RoundTrip limits the header
+// and the body of each reply, since a searcher in trouble may send either without end.
+func newHTTP1Conn(conn *gatedConn, maxReplySize int) *http1Conn {
+	const encodingFactor = 2 // more than chunks add to a body
+	client := &http1Conn{conn: conn, maxBodySize: encodingFactor * int64(maxReplySize)}
 	client.limit.R = conn
 	client.reader = bufio.NewReader(&client.limit)
 	return client
@@ -113,7 +117,6 @@
 		return nil, client.reuseErr
 	}
 	client.reuseErr = errNotReusable // until the complete reply has been read
-	client.limit.N = maxHeaderBytes + defaultMaxReplySize
 	ctx := request.Context()
 	stopAfterFunc := context.AfterFunc(ctx, func() { _ = client.conn.SetDeadline(time.Unix(1, 0)) })
 	writeResult, err := client.write(request)
@@ -149,9 +152,14 @@
 
 func (client *http1Conn) readHead(request *http.Request) (*http.Response, error) {
 	for range maxInformational {
+		client.limit.N = maxHeaderBytes
 		response, err := http.ReadResponse(client.reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			client.limit.N = client.maxBodySize
+			return response, nil
 		}
 	}
 	return nil, fmt.Errorf("more than %d informational replies", maxInformational)
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -311,3 +313,118 @@
 	}
 	return fmt.Sprintf(" rate limit %v", stated.RateLimit)
 }
+
+// startBrokenSearcher starts a searcher that writes the given bytes to each connection and then what follows forever, and counts
+// the connections that its callers have closed.
+func startBrokenSearcher(t *testing.T, start, endless string) (address string, closed *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed = &atomic.Int64{}
+	var handlers sync.WaitGroup
+	handlers.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			handlers.Go(func() {
+				defer func() { _ = conn.Close() }()
+				_, err := conn.Write([]byte(start))
+				for err == nil {
+					_, err = conn.Write([]byte(endless))
+				}
+				closed.Add(1)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		assert.Check(t, listener.Close())
+		handlers.Wait()
+	})
+	return listener.Addr().String(), closed
+}
+
+// Guards against a reply without end, in its head or its body, that is read until the deadline of its attempt and held in
+// memory meanwhile.
+func TestHTTPEndlessReplies(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+	line := strings.Repeat("x", 1000)
+	for name, reply := range map[string][2]string{
+		"header line":   {head + "X-Long: ", line},
+		"header lines":  {head, "X-More: " + line + "\r\n"},
+		"status line":   {"", line},
+		"informational": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"body":          {head + "\r\n", line},
+		"chunks":        {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"chunk header":  {head + "Transfer-Encoding: chunked\r\n\r\n1;", line},
+		"trailer":       {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: " + line + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, closed := startBrokenSearcher(t, reply[0], reply[1])
+			client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 1, MaxReplySize: 100_000})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := client.SearchShard(ctx, carobthread.Searcher{Name: "s", Address: address, Instance: "i"}, newShardRequest("r", "/x/1"))
+			var failure *carobthread.RequestError
+			assert.Assert(t, errors.As(err, &failure) && failure.State == carobthread.MayHaveRun, "%v", err)
+			assert.NilError(t, ctx.Err())
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if closed.Load() == 0 {
+					return poll.Continue("the connection is still open")
+				}
+				return poll.Success()
+			}, poll.WithTimeout(5*time.Second))
+		})
+	}
+}
+
+// Guards against a header that is read far beyond its limit because the limit of the body applies to both.
+func TestHTTPHeaderLimit(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		// The header is over its limit and stops there, as if the rest were on its way.
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nResponse-Seal: " + strings.Repeat("s", 200<<10)))
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 1})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = client.SearchShard(ctx, carobthread.Searcher{Name: "s", Address: listener.Addr().String(), Instance: "i"}, newShardRequest("r", "/x/1"))
+	var failure *carobthread.RequestError
+	assert.Assert(t, errors.As(err, &failure) && failure.State == carobthread.MayHaveRun, "%v", err)
+	assert.NilError(t, ctx.Err(), "the header was read until the deadline")
+}
+
+// Guards against a reply whose head breaks off, with its connection closed in order, that is taken for a complete one.
+func TestHTTPTruncatedHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nResponse-Seal: s\r\n\r\n"
+	for length := range len(head) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn)) // unread bytes would reset the connection
+			_, _ = conn.Write([]byte(head[:length]))
+			_ = conn.Close()
+		}()
+		client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 1})
+		_, err = client.SearchShard(t.Context(), carobthread.Searcher{Name: "s", Address: listener.Addr().String(), Instance: "i"}, newShardRequest("r", "/x/1"))
+		var failure *carobthread.RequestError
+		assert.Check(t, errors.As(err, &failure) && failure.State == carobthread.MayHaveRun, "after %d bytes: %v", length, err)
+		client.Close()
+		assert.NilError(t, listener.Close())
+	}
+}
--- a/caller/pool.go
+++ b/caller/pool.go
@@ -51,7 +51,9 @@
 	transport *http.Transport
 	// http1Dialer, if set, dials connections for an http1Conn in place of the transport.
 	http1Dialer *net.Dialer
-	multiplexed bool // a connection carries several idempotent requests at once
+	// maxReplySize limits the replies of an http1Conn, in bytes.
+	maxReplySize int
+	multiplexed  bool // a connection carries several idempotent requests at once
 
 	mutex    sync.Mutex
 	limit    int
@@ -197,7 +199,7 @@
 			return nil, err
 		}
 		raw.Conn = conn
-		return &connection{client: newHTTP1Conn(raw), raw: raw}, nil
+		return &connection{client: newHTTP1Conn(raw, pool.maxReplySize), raw: raw}, nil
 	}
 	client, err := pool.transport.NewClientConn(context.WithValue(ctx, rawConnKey{}, raw), "http", pool.address)
 	if err != nil {
