Limit the memory of large replies that are read at the same time

Found while testing replies without end: each reply is limited to 4 MiB, but 30 of 108 searchers in trouble with four attempts each may fill 480 MiB of a host that has 400 MiB. Change: the bytes beyond the first 64 KiB of each reply count against 64 MiB for all replies that are being read; beyond that, the attempt fails.

--- a/caller/http.go
+++ b/caller/http.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carobthread"
@@ -26,17 +27,26 @@
 	maxAtMostOnceIdle = 150 * time.Millisecond
 	// maxDialTimeout limits the time to open a connection. A lost SYN is retransmitted only after a second.
 	maxDialTimeout = 500 * time.Millisecond
+	// replyBlock is the number of bytes of a reply that are read at a time.
+	replyBlock = 64 << 10
+	// defaultMaxLargeReplyBytes is a small part of the memory of the smallest hosts, about 400 MB.
+	defaultMaxLargeReplyBytes = 64 << 20
 )
 
 // errSearcherLeaving is returned for requests to a searcher that is leaving.
 var errSearcherLeaving = errors.New("the searcher is leaving")
 
+// errTooManyLargeReplies is returned for a reply that would exceed HTTPOptions.MaxLargeReplyBytes.
+var errTooManyLargeReplies = errors.New("too many large replies at once")
+
 // HTTPOptions are the header names, timer and limits of an HTTPCaller.
 type HTTPOptions struct {
 	Headers      carobthread.HeaderNames
 	Timer        carobthread.Timer
 	Connections  int // per searcher, until changed by SetConnections
 	MaxReplySize int // in bytes
+	// MaxLargeReplyBytes limits the bytes of all replies over 64 KiB that are read at the same time.
+	MaxLargeReplyBytes int64
 }
 
 // HTTPCaller forwards plain HTTP/1.1 requests to searchers; it is safe for concurrent use.
@@ -53,6 +63,8 @@
 	// leaving is the set of searchers that must receive no new requests.
 	leaving map[string]bool
 	closed  bool
+	// largeReplyBytes counts the bytes of the large replies that are being read.
+	largeReplyBytes atomic.Int64
 }
 
 var _ carobthread.Upstream = (*HTTPCaller)(nil)
@@ -65,6 +77,9 @@
 	if options.MaxReplySize == 0 {
 		options.MaxReplySize = defaultMaxReplySize
 	}
+	if options.MaxLargeReplyBytes == 0 {
+		options.MaxLargeReplyBytes = defaultMaxLargeReplyBytes
+	}
 	return &HTTPCaller{options: options, limits: map[string]int{}, pools: map[string]*pool{}, leaving: map[string]bool{}}
 }
 
@@ -192,13 +207,10 @@
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read, or its connection is discarded
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(caller.options.MaxReplySize)+1))
+	body, err := caller.readBody(response.Body)
 	if err != nil {
 		return nil, false, fmt.Errorf("read reply: %w", err)
 	}
-	if len(body) > caller.options.MaxReplySize {
-		return nil, false, fmt.Errorf("the reply is larger than %d bytes", caller.options.MaxReplySize)
-	}
 	names := &caller.options.Headers
 	if echoed := response.Header.Get(names.RequestID); echoed != "" && echoed != request.Request.ID {
 		return nil, false, fmt.Errorf("the reply is for request %q", echoed)
@@ -208,6 +220,30 @@
 	return caller.classifyReply(request, response, body), !response.Close, nil
 }
 
+// readBody reads a reply's body up to its end. The blocks after the first one count against maxLargeReplyBytes, so that many
+// searchers that send without end can't fill the memory together.
+func (caller *HTTPCaller) readBody(source io.Reader) ([]byte, error) {
+	var body []byte
+	reserved := int64(0)
+	defer func() { caller.largeReplyBytes.Add(-reserved) }()
+	for {
+		block, err := io.ReadAll(io.LimitReader(source, replyBlock))
+		body = append(body, block...)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(body) > caller.options.MaxReplySize:
+			return nil, fmt.Errorf("the reply is larger than %d bytes", caller.options.MaxReplySize)
+		case len(block) < replyBlock:
+			return body, nil
+		}
+		reserved += replyBlock
+		if caller.largeReplyBytes.Add(replyBlock) > caller.options.MaxLargeReplyBytes {
+			return nil, errTooManyLargeReplies
+		}
+	}
+}
+
 // httpRequest builds the request. Its deadline header is the remaining time just before the request is written.
 func (caller *HTTPCaller) httpRequest(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*http.Request, error) {
 	names := &caller.options.Headers
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -428,3 +428,48 @@
 		assert.NilError(t, listener.Close())
 	}
 }
+
+// Guards against many replies without end that fill the memory together, each within its own limit.
+func TestHTTPLargeRepliesTogether(t *testing.T) {
+	const (
+		attempts = 8
+		fitting  = 2 // of the incomplete replies below
+	)
+	// Each reply stops short of its limit, so that nothing but the limit of all replies ends it before the deadline.
+	part := "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 900000\r\n\r\n" + strings.Repeat("x", 800_000)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Write([]byte(part))
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	client := caller.NewHTTP(caller.HTTPOptions{
+		Headers: platform.Headers(), Timer: timer.New(), Connections: attempts, MaxReplySize: 1_000_000, MaxLargeReplyBytes: fitting * 1_000_000,
+	})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var refused atomic.Int64
+	var running sync.WaitGroup
+	for index := range attempts {
+		running.Go(func() {
+			_, err := client.SearchShard(ctx, carobthread.Searcher{Name: "s", Address: listener.Addr().String(), Instance: "i"}, newShardRequest(fmt.Sprint("r", index), "/x/1"))
+			assert.Check(t, err != nil)
+			if ctx.Err() == nil {
+				refused.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	assert.Assert(t, refused.Load() >= attempts-fitting-1, "%d of %d replies ended before the deadline", refused.Load(), attempts)
+}
