--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -339,6 +339,28 @@
 	advanceUntil(t, clock, func() bool { return directory.Stats().Version == versions })
 }
 
+// Guards against a host that stops following the store because of one entry that it can't read.
+func TestDirectoryFollowsStoreBesideOddEntry(t *testing.T) {
+	const depth = 100_000
+	store, err := standin.NewStore()
+	assert.NilError(t, err)
+	client := platform.NewStore(store.Address())
+	t.Cleanup(func() {
+		client.Close()
+		assert.Check(t, store.Close())
+	})
+	nested := []byte(strings.Repeat(`{"x":[`, depth))
+	store.Put("servers/odd-listed", nested)
+	store.Put("op/config", []byte(`{"version":1}`))
+	clock := timer.NewManual(carobthread.At(time.Unix(1, 0)))
+	directory := startDirectory(t, clock, client, &pausedPeer{})
+	advanceUntil(t, clock, func() bool { return directory.Stats().Version == 1 })
+	store.Put("servers/odd-watched", nested)
+	store.Put("op/config", []byte(`{"version":2}`))
+	store.Put("servers/good", []byte(`{"service":"one","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","coldLeftMs":0,"sequence":1}`))
+	advanceUntil(t, clock, func() bool { return directory.Stats().Version == 2 && directory.Stats().Searchers == 1 })
+}
+
 // Load: all hosts start at the same moment while callers wait. Guards against hosts that have no data and wait too long for
 // each other, and against a timing that lets a host's copy of the store exceed the maximum age while the store answers.
 func TestTimingBounds(t *testing.T) {
