--- a/caller/http.go
+++ b/caller/http.go
@@ -301,7 +301,11 @@
 	}
 	signature := response.Header.Get(names.Signature)
 	if shed := len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0; response.StatusCode != http.StatusMisdirectedRequest && (shed || signature != "") {
-		reply.Backpressure = &carobthread.Backpressure{RateLimit: parseRateLimit(response.Header.Get(names.RateLimit))}
+		reply.Backpressure = &carobthread.Backpressure{
+			RateLimit: parseRateLimit(response.Header.Get(names.RateLimit)),
+			Leaving:   strings.TrimSpace(response.Header.Get(names.Leaving)) == "1",
+		}
+		reply.Draining = reply.Backpressure.Leaving
 	}
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
--- a/forwarding.go
+++ b/forwarding.go
@@ -151,6 +151,8 @@
 	Load string
 	// RateLimit holds the requests per second that a searcher accepts from all hosts together.
 	RateLimit string
+	// Leaving is "1" in the responses of a searcher that is leaving.
+	Leaving string
 	// Signatures holds the signatures of the replies that an answer merges, MissingShards the number of shards without a reply.
 	Signatures    string
 	MissingShards string
--- a/server/search.go
+++ b/server/search.go
@@ -64,7 +64,9 @@
 	// backpressure is the last backpressure of each searcher that has any.
 	backpressure map[string]carobthread.Backpressure
 	limiter      *logger.Limiter
-	running      sync.WaitGroup
+	// departures holds the searchers that have said that they leave, with the time of that or of their last configuration.
+	departures map[string]carobthread.Instant
+	running    sync.WaitGroup
 
 	scheduled carobthread.Scheduled
 	alarm     carobthread.Alarm
@@ -138,6 +140,7 @@
 		drains:    newDrainTracker(),
 
 		backpressure: map[string]carobthread.Backpressure{},
+		departures:   map[string]carobthread.Instant{},
 		limiter:      logger.NewLimiter(options.Logger, maxLogLinesPerSecond),
 	}
 }
@@ -147,6 +150,7 @@
 	search.mutex.Lock()
 	previous := search.searchers
 	search.searchers = make(map[string]carobthread.Searcher, len(config.Searchers))
+	config.Searchers = search.markDepartures(config.Searchers)
 	for _, searcher := range config.Searchers {
 		search.searchers[searcher.Name] = searcher
 	}
@@ -486,10 +490,10 @@
 	}
 	if matches && reply.Load != nil {
 		search.stepLocked(carobthread.Event{Report: &carobthread.ReportArrived{
-			Searcher: action.Searcher, Healthy: true, Running: reply.Load.Running, Queued: reply.Load.Queued,
+			Searcher: action.Searcher, Healthy: true, Draining: reply.Draining, Running: reply.Load.Running, Queued: reply.Load.Queued,
 		}})
 	}
-	search.logBackpressureLocked(action.Searcher, event.Backpressure)
+	search.applyBackpressureLocked(action.Searcher, event.Backpressure)
 	search.stepLocked(carobthread.Event{Reply: event})
 	if query := search.pending[action.Query]; query != nil {
 		delete(query.cancels, action.Attempt)
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -60,6 +61,24 @@
 
 func startSearch(t *testing.T, upstream carobthread.Upstream) *server.Search {
 	t.Helper()
+	search := newSearch(t, upstream)
+	search.Configure(testConfig())
+	return search
+}
+
+func newSearch(t *testing.T, upstream carobthread.Upstream) *server.Search {
+	t.Helper()
+	clock := timer.New()
+	core := gatherer.New(1, gatherer.Options{})
+	search := server.NewSearch(server.SearchOptions{
+		Host: "entry", Decider: core, QueryCore: core, Timer: clock, Upstream: upstream,
+		Tracer: noop.NewTracerProvider().Tracer("test"), Meter: server.NewMeter(tally.NoopScope),
+	})
+	t.Cleanup(clock.Subscribe(time.Millisecond, search))
+	return search
+}
+
+func testConfig() carobthread.Config {
 	config := carobthread.Config{
 		Services: []carobthread.Service{{
 			Name: "catalogue", Kind: carobthread.KindSearch, Preference: carobthread.CoverageFirst,
@@ -77,15 +96,7 @@
 		}
 		config.Layouts[0].Shards = append(config.Layouts[0].Shards, replicas)
 	}
-	clock := timer.New()
-	core := gatherer.New(1, gatherer.Options{})
-	search := server.NewSearch(server.SearchOptions{
-		Host: "entry", Decider: core, QueryCore: core, Timer: clock, Upstream: upstream,
-		Tracer: noop.NewTracerProvider().Tracer("test"), Meter: server.NewMeter(tally.NoopScope),
-	})
-	search.Configure(config)
-	t.Cleanup(clock.Subscribe(time.Millisecond, search))
-	return search
+	return config
 }
 
 // departureRecorder records the searchers that a Search reports as leaving or gone.
@@ -181,3 +192,57 @@
 		assert.Equal(t, failure.Reason, bad.reason)
 	}
 }
+
+// departingUpstream answers every attempt; the first searcher that it is called for says in each answer that it leaves.
+type departingUpstream struct {
+	mutex     sync.Mutex
+	departing string
+	counts    map[string]int
+}
+
+func (upstream *departingUpstream) SearchShard(_ context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.counts[searcher.Name]++
+	upstream.departing = cmp.Or(upstream.departing, searcher.Name)
+	leaving := searcher.Name == upstream.departing
+	return &carobthread.ShardReply{
+		Attempt: request.Attempt, Shard: request.Shard, Snapshot: 7, Layout: request.Layout, Status: carobthread.ReplyOK, HeldSnapshots: []uint64{7},
+		Draining: leaving, Backpressure: &carobthread.Backpressure{Leaving: leaving}, Load: &carobthread.Load{Slots: 64},
+	}, nil
+}
+
+// Guards against requests to a searcher that has said in an answer that it leaves, although its entry does not say so, is
+// registered anew with each configuration, and is missing in between.
+func TestSearchLeavesDepartingSearcherAlone(t *testing.T) {
+	const queries = 30
+	upstream := &departingUpstream{counts: map[string]int{}}
+	search := newSearch(t, upstream)
+	config := testConfig()
+	search.Configure(config)
+	run := func() {
+		for range queries {
+			_, err := search.Search(t.Context(), connect.NewRequest(&carobthreadv1.SearchRequest{Service: "catalogue"}))
+			assert.NilError(t, err)
+		}
+	}
+	run()
+	reached := func() int {
+		upstream.mutex.Lock()
+		defer upstream.mutex.Unlock()
+		return upstream.counts[upstream.departing]
+	}
+	before := reached()
+	assert.Equal(t, before, 1)
+	search.Configure(config)
+	run()
+	withoutSearcher := config
+	withoutSearcher.Searchers = slices.DeleteFunc(slices.Clone(config.Searchers), func(searcher carobthread.Searcher) bool {
+		return searcher.Name == upstream.departing
+	})
+	search.Configure(withoutSearcher)
+	time.Sleep(carobthread.DrainHoldTime + 2*time.Second) // the query core forgets a searcher within that time
+	search.Configure(config)
+	run()
+	assert.Equal(t, reached(), before)
+}
