Send nothing to a searcher within the time that it has named

Change: the header of a refusal is decoded with the reply; a searcher counts as throttled until the time is over, at the same gate as for rate limits. New queries whose required shards are all throttled for longer than their target allows are refused at once with the time until one takes requests again; before, they waited for the time to pass as long as nothing else waited.

--- a/caller/http.go
+++ b/caller/http.go
@@ -27,6 +27,8 @@
 	maxAtMostOnceIdle = 150 * time.Millisecond
 	// maxDialTimeout limits the time to open a connection. A lost SYN is retransmitted only after a second.
 	maxDialTimeout = 500 * time.Millisecond
+	// maxRetryAfter bounds the time for which a searcher can refuse all requests of this host.
+	maxRetryAfter = time.Hour
 	// replyBlock is the number of bytes of a reply that are read at a time.
 	replyBlock = 64 << 10
 	// defaultMaxLargeReplyBytes is a small part of the memory of the smallest hosts, about 400 MB.
@@ -305,6 +307,9 @@
 			RateLimit: parseRateLimit(response.Header.Get(names.RateLimit)),
 			Leaving:   strings.TrimSpace(response.Header.Get(names.Leaving)) == "1",
 		}
+		if response.StatusCode == http.StatusServiceUnavailable {
+			reply.Backpressure.RetryAfterMicros = parseRetryAfter(response.Header.Get("Retry-After")).Microseconds()
+		}
 		reply.Draining = reply.Backpressure.Leaving
 	}
 	switch {
@@ -349,6 +354,15 @@
 	return limit
 }
 
+// parseRetryAfter parses a time in seconds, with or without a fraction; it returns 0 for any other text.
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // keepAliveExpiry returns when the searcher's Keep-Alive header forbids further use of the connection, or 0 without one.
 func (caller *HTTPCaller) keepAliveExpiry(header http.Header) carobthread.Instant {
 	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/gatherer/backpressure.go
+++ b/gatherer/backpressure.go
@@ -1,9 +1,11 @@
 package gatherer
 
 // A searcher in need names the requests per second that it accepts from all hosts together. No host sees what the others send,
-// so each one keeps to an equal share of that limit; the sum over all hosts then stays below it without any agreement.
+// so each one keeps to an equal share of that limit; the sum over all hosts then stays below it without any agreement. A
+// searcher that refuses an attempt may also name a time in which it wants nothing from this host.
 
 import (
+	"slices"
 	"time"
 
 	"carobthread"
@@ -11,11 +13,22 @@
 
 // recordBackpressure applies what a searcher asks of its callers in a reply.
 func (gatherer *Gatherer) recordBackpressure(searcher *searcherRow, stated *carobthread.Backpressure) {
-	if stated == nil || !gatherer.usesCurrentPolicy() || stated.RateLimit == searcher.rateLimit {
+	if stated == nil || !gatherer.usesCurrentPolicy() {
 		return
 	}
-	searcher.rateLimit = stated.RateLimit
-	gatherer.shareRateLimit(searcher)
+	gatherer.backpressured = gatherer.backpressured || *stated != (carobthread.Backpressure{})
+	if stated.RetryAfterMicros > 0 {
+		searcher.pausedUntil = max(searcher.pausedUntil, gatherer.now.Add(time.Duration(stated.RetryAfterMicros)*time.Microsecond))
+	}
+	if stated.RateLimit != searcher.rateLimit {
+		searcher.rateLimit = stated.RateLimit
+		gatherer.shareRateLimit(searcher)
+	}
+}
+
+// throttled reports whether the searcher wants no request of this host now.
+func (gatherer *Gatherer) throttled(searcher *searcherRow) bool {
+	return gatherer.now < searcher.pausedUntil || !searcher.rate.Allows(gatherer.now)
 }
 
 // unheldShare is the fraction of a rate limit that all hosts which are not assigned to a searcher share; they send to it only
@@ -40,9 +53,39 @@
 	searcher.rate.Set(gatherer.now, share)
 }
 
-// throughput estimates how many attempts per second of this host the replica can take.
+// throttledFor returns the time until one of the shard's usable searchers takes a request of this host, or 0 if one does now or
+// none is usable.
+func (gatherer *Gatherer) throttledFor(row *shardRow) time.Duration {
+	if !gatherer.backpressured {
+		return 0
+	}
+	least, found := time.Duration(0), false
+	for i := range row.replicas {
+		searcher := row.replicas[i].row.searcher
+		if !searcher.usable() {
+			continue
+		}
+		wait := max(0, searcher.pausedUntil.Sub(gatherer.now), searcher.rate.Wait(gatherer.now))
+		if !found || wait < least {
+			least, found = wait, true
+		}
+	}
+	return least
+}
+
+// updateBackpressured determines whether any searcher asks its callers for less than usual.
+func (gatherer *Gatherer) updateBackpressured() {
+	gatherer.backpressured = slices.ContainsFunc(gatherer.searcherList, func(searcher *searcherRow) bool {
+		return searcher.rateLimit > 0 || gatherer.now < searcher.pausedUntil
+	})
+}
+
+// throughput estimates how many attempts per second of this host the replica can take now.
 func (gatherer *Gatherer) throughput(replica *replicaRow) float64 {
 	searcher := replica.searcher
+	if gatherer.now < searcher.pausedUntil {
+		return 0
+	}
 	bySlots := float64(searcher.limit.Limit()) * float64(time.Second) / gatherer.expectedLatency(replica)
 	if searcher.rate.Limited() {
 		return min(bySlots, searcher.rate.PerSecond())
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -20,7 +20,8 @@
 	classRemote
 	// classSaturated has no free slot; the attempt waits for one rather than going to a replica with bad outcomes.
 	classSaturated
-	// classThrottled has used up this host's share of the rate limit that the searcher names; the attempt waits for a token.
+	// classThrottled has used up this host's share of the rate limit that the searcher names, or wants nothing from this host
+	// for a time that it has named; the attempt waits.
 	classThrottled
 	// classAvoided is stalled, or would be ejected but for the ejection cap.
 	classAvoided
@@ -132,7 +133,7 @@
 			continue
 		}
 		latency := gatherer.recentLatency(replica)
-		wait := time.Duration(float64(len(row.waiting)+1) / gatherer.throughput(replica) * float64(time.Second))
+		wait := time.Duration(float64(len(row.waiting)+1) / gatherer.throughput(replica) * float64(time.Second)) // not throttled, so not 0
 		if latency > 0 && wait+latency <= left {
 			return true
 		}
@@ -206,7 +207,7 @@
 		return classTried
 	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].atSearcherLimit(query.service):
 		return classTried
-	case !searcher.rate.Allows(gatherer.now):
+	case gatherer.throttled(searcher):
 		return classThrottled
 	case !replica.row.free():
 		return classSaturated
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -327,6 +327,7 @@
 		return
 	}
 	gatherer.connect()
+	gatherer.updateBackpressured()
 	gatherer.searcherList = slices.DeleteFunc(gatherer.searcherList, func(searcher *searcherRow) bool {
 		// The draining state must survive a short absence from the configuration.
 		draining := searcher.draining && gatherer.now.Sub(searcher.drainedAt) < carobthread.DrainHoldTime
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -43,6 +43,8 @@
 	// nextProbeAt is when the next query may be sent to data centres that are cut off.
 	nextProbeAt carobthread.Instant
 	remote      remoteView
+	// backpressured is set while any searcher asks its callers for less than usual; it may be set for a second too long.
+	backpressured bool
 	// nextGroupSweepAt is when unused replica groups are next removed.
 	nextGroupSweepAt carobthread.Instant
 	// planEpoch is incremented whenever an input of the query plans changes.
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -4,6 +4,7 @@
 // caller disconnects.
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"time"
@@ -98,7 +99,7 @@
 //
 // Without this check, all admitted queries would be answered late while some shards are overloaded.
 func (gatherer *Gatherer) timeToFloor(service *serviceRow, plan *queryPlan) time.Duration {
-	if service.waiting == 0 {
+	if service.waiting == 0 && !gatherer.backpressured {
 		return 0
 	}
 	permitted := service.config.SoftDeadline - service.latency.median
@@ -133,10 +134,12 @@
 	return inTime < service.required(len(plan.layout.shards))
 }
 
-// queueWait estimates how long it takes until all attempts that wait for a slot of the shard have got one.
+// queueWait estimates how long it takes until all attempts that wait for a slot of the shard have got one, or until one of its
+// searchers takes requests again if none does.
 func (gatherer *Gatherer) queueWait(row *shardRow) time.Duration {
+	throttled := gatherer.throttledFor(row)
 	if len(row.waiting) == 0 {
-		return 0
+		return throttled
 	}
 	rate := 0.0
 	for i := range row.replicas {
@@ -146,7 +149,7 @@
 		}
 	}
 	if rate == 0 {
-		return maxLatency
+		return cmp.Or(throttled, maxLatency)
 	}
 	return time.Duration(float64(len(row.waiting)) / rate * float64(time.Second))
 }
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -206,7 +206,7 @@
 	}
 }
 
-// replies sends replies to attempts=N+N in order, which name the rate-limit; query, shard, snapshot, layout and status override the values that the
+// replies sends replies to attempts=N+N in order, which name the rate-limit or retry-after; query, shard, snapshot, layout and status override the values that the
 // attempt was sent with.
 func (run *script) replies(data *datadriven.TestData) string {
 	output := ""
@@ -229,6 +229,10 @@
 			reply.Searcher = run.sends[reply.Attempt].Searcher
 			reply.Backpressure = &carobthread.Backpressure{RateLimit: float64(run.number(data, "rate-limit", 0))}
 		}
+		if data.HasArg("retry-after") {
+			reply.Searcher = run.sends[reply.Attempt].Searcher
+			reply.Backpressure = &carobthread.Backpressure{RetryAfterMicros: run.duration(data, "retry-after").Microseconds()}
+		}
 		output += run.step(carobthread.Event{Reply: &reply})
 	}
 	return output
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -125,7 +125,9 @@
 	limit  limiter.InFlight
 	// rateLimit is the number of requests per second that the searcher accepts from all hosts together, or 0 for no limit;
 	// rate is this host's share.
-	rateLimit       float64
+	rateLimit float64
+	// pausedUntil is the end of the time for which the searcher wants no requests of this host.
+	pausedUntil     carobthread.Instant
 	rate            limiter.Rate
 	ejection        limiter.Ejection
 	connectionShare limiter.ConnectionShare
--- a/limiter/rate.go
+++ b/limiter/rate.go
@@ -39,6 +39,14 @@
 	return !rate.Limited() || rate.tokens >= 1
 }
 
+// Wait returns the time until one more request may be sent.
+func (rate *Rate) Wait(now carobthread.Instant) time.Duration {
+	if rate.Allows(now) {
+		return 0
+	}
+	return time.Duration((1 - rate.tokens) / rate.perSecond * float64(time.Second))
+}
+
 // Take counts a request that is sent now.
 func (rate *Rate) Take(now carobthread.Instant) {
 	if rate.Limited() {
--- a/server/backpressure.go
+++ b/server/backpressure.go
@@ -31,7 +31,7 @@
 		return
 	}
 	search.options.Logger.Info().Str("event", "searcher-backpressure").Str("searcher", searcher).Float64("rate-limit", stated.RateLimit).
-		Bool("leaving", stated.Leaving).Msg("what a searcher asks of its callers changed")
+		Bool("leaving", stated.Leaving).Int64("retry-after-us", stated.RetryAfterMicros).Msg("what a searcher asks of its callers changed")
 }
 
 // markDepartures returns the searchers with those marked as leaving that have said so themselves, and forgets the departures of
--- a/upstream.go
+++ b/upstream.go
@@ -77,6 +77,8 @@
 type Backpressure struct {
 	// RateLimit is the number of requests per second that the searcher accepts from all hosts together; 0 means no limit.
 	RateLimit float64 `json:"rate-limit,omitempty"`
+	// RetryAfterMicros is how long the searcher, which refused an attempt, wants no requests from this host.
+	RetryAfterMicros int64 `json:"retry-after-us,omitempty"`
 	// Leaving is set if the searcher is leaving; it holds for as long as the searcher lives.
 	Leaving bool `json:"leaving,omitempty"`
 }
