Wait until the peers have the version that a restarted host must take

Traced: hosts promise a change within the freshness, 3 s by default; the test gave the peers 1 s, and a restarted host takes what its first peer has. The test was wrong, not the host.

--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -361,7 +361,14 @@
 	fleet := startForwarding(t)
 	fleet.config.Version = 7
 	assert.NilError(t, fleet.store.PutConfig(&fleet.config))
-	time.Sleep(time.Second)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, entry := range fleet.processes {
+			if !strings.Contains(entry.log.String(), `"event":"table-active","version":7`) {
+				return poll.Continue("%s has not taken version 7", entry.name)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(defaultFreshness), poll.WithDelay(10*time.Millisecond))
 	fleet.store.SetFailure(http.StatusServiceUnavailable, false)
 	entry := fleet.processes[0]
 	assert.NilError(t, entry.command.Process.Kill())
@@ -369,6 +376,7 @@
 	entry.startForwarding(t)
 	fleet.awaitReady(t)
 	assert.Check(t, strings.Contains(entry.log.String(), `"version":7`), entry.log.String())
+	assert.Check(t, !strings.Contains(entry.log.String(), `"version":1,`), entry.log.String())
 }
 
 // Guards against a stalled reader of the log output that delays requests.
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -35,8 +35,10 @@
 	concurrentFaults = 3
 	maxFaultDuration = 2 * time.Second
 	recoveryTimeout  = 12 * time.Second
-	// drainBound is the time after which a draining searcher must receive no requests; it is the hosts' default freshness.
-	drainBound = 3 * time.Second
+	// defaultFreshness is the hosts' freshness without a setting: the time within which each must know of a change.
+	defaultFreshness = 3 * time.Second
+	// drainBound is the time after which a draining searcher must receive no requests.
+	drainBound = defaultFreshness
 	// settleTime is how long hosts and store must have been free of faults before that bound holds.
 	settleTime = 2 * time.Second
 )
