Report a peer response that exceeds the frame limit

Test: TestReportsTooLargeResponse failed before (10 s, deadline exceeded); two runs of the package pass.

--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -102,7 +103,12 @@
 		_ = conn.ReplyWithError(ctx, request.ID, encodeFailure(err))
 		return
 	}
-	_ = conn.Reply(ctx, request.ID, result)
+	if err := conn.Reply(ctx, request.ID, result); errors.Is(err, errFrameTooLarge) {
+		acceptor.messenger.options.Logger.Error().Err(err).Str("event", "response-too-large").Str("peer", acceptor.peer).Str("method", request.Method).
+			Msg("response to another host exceeds the frame limit")
+		failure := &carobthread.RequestError{State: carobthread.MayHaveRun, Reason: carobthread.ReasonTooLarge, Detail: err.Error()}
+		_ = conn.ReplyWithError(ctx, request.ID, encodeFailure(failure))
+	}
 }
 
 func (acceptor *acceptor) invoke(ctx context.Context, request *jsonrpc2.Request) (any, error) {
--- a/messenger/codec.go
+++ b/messenger/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,9 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// errFrameTooLarge is returned for a message that is not written because it exceeds maxFrameBytes.
+var errFrameTooLarge = errors.New("frame too large")
+
 // codec prefixes each message with its length as a varint and counts messages
 // and bytes.
 //
@@ -47,7 +51,7 @@
 		return err
 	}
 	if len(frame) > maxFrameBytes {
-		return fmt.Errorf("frame of %d bytes exceeds the limit of %d", len(frame), maxFrameBytes)
+		return fmt.Errorf("%w: %d bytes, limit %d", errFrameTooLarge, len(frame), maxFrameBytes)
 	}
 	codec.meter.add(codec.sendMethod, Sent, len(frame))
 	_, err = stream.Write(frame)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -227,6 +227,25 @@
 	assert.NilError(t, call())
 }
 
+// Guards against a response above the frame limit that is dropped, so that the caller waits for its deadline and takes the link
+// for silent.
+func TestReportsTooLargeResponse(t *testing.T) {
+	const tooLarge = 5 << 20
+	_, address := serve(t, handlerFunc(func(_ context.Context, _, method string, _ json.RawMessage) (any, error) {
+		if method == "large" {
+			return strings.Repeat("x", tooLarge), nil
+		}
+		return 7, nil
+	}))
+	peer := dialler(t, address)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var failure *carobthread.RequestError
+	err := peer.Call(ctx, "a", "large", nil, nil)
+	assert.Assert(t, errors.As(err, &failure) && failure.Reason == carobthread.ReasonTooLarge, "%v", err)
+	assert.NilError(t, peer.Call(ctx, "a", "echo", nil, nil))
+}
+
 // Guards against a link that is closed because one slow request timed out, which would fail the other requests on it.
 func TestKeepsLinkThatAnswersOtherRequests(t *testing.T) {
 	release := make(chan struct{})
