Bound the stated wait of a rate limit and share a test's store

From reading the diff: a searcher that names a limit of almost nothing made the wait overflow its duration, with a result that depends on the processor; it is now at most an hour. Two tests of the directory set up the store in the same lines.

--- a/caller/http.go
+++ b/caller/http.go
@@ -222,7 +222,7 @@
 	return caller.classifyReply(request, response, body), !response.Close, nil
 }
 
-// readBody reads a reply's body up to its end. The blocks after the first one count against maxLargeReplyBytes, so that many
+// readBody reads a reply's body up to its end. The blocks after the first one count against MaxLargeReplyBytes, so that many
 // searchers that send without end can't fill the memory together.
 func (caller *HTTPCaller) readBody(source io.Reader) ([]byte, error) {
 	var body []byte
--- a/limiter/rate.go
+++ b/limiter/rate.go
@@ -6,6 +6,9 @@
 	"carobthread"
 )
 
+// maxRateWait bounds the stated wait at a limit of almost nothing.
+const maxRateWait = time.Hour
+
 // rateBurst is the time whose tokens a Rate may save up while they are not used.
 const rateBurst = time.Second
 
@@ -44,7 +47,8 @@
 	if rate.Allows(now) {
 		return 0
 	}
-	return time.Duration((1 - rate.tokens) / rate.perSecond * float64(time.Second))
+	seconds := min((1-rate.tokens)/rate.perSecond, maxRateWait.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Take counts a request that is sent now.
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -256,6 +256,19 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
 }
 
+// startStore starts a fake of the platform's store and returns it with a client.
+func startStore(t *testing.T) (*standin.Store, *platform.Store) {
+	t.Helper()
+	store, err := standin.NewStore()
+	assert.NilError(t, err)
+	client := platform.NewStore(store.Address())
+	t.Cleanup(func() {
+		client.Close()
+		assert.Check(t, store.Close())
+	})
+	return store, client
+}
+
 // listOnlyStore serves a list of revision 5 and no watch.
 type listOnlyStore struct{}
 
@@ -317,13 +330,7 @@
 // Guards against a host that repeats the same watch forever when the changes that it lacks exceed the size limit of a response.
 func TestDirectoryListsStoreAfterTooLargeWatch(t *testing.T) {
 	const versions = 5 // of almost 1 MiB each, and a third more in base64
-	store, err := standin.NewStore()
-	assert.NilError(t, err)
-	client := platform.NewStore(store.Address())
-	t.Cleanup(func() {
-		client.Close()
-		assert.Check(t, store.Close())
-	})
+	store, client := startStore(t)
 	put := func(version int) {
 		store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"padding":%q}`, version, strings.Repeat("x", 1_000_000)))
 	}
@@ -342,13 +349,7 @@
 // Guards against a host that stops following the store because of one entry that it can't read.
 func TestDirectoryFollowsStoreBesideOddEntry(t *testing.T) {
 	const depth = 100_000
-	store, err := standin.NewStore()
-	assert.NilError(t, err)
-	client := platform.NewStore(store.Address())
-	t.Cleanup(func() {
-		client.Close()
-		assert.Check(t, store.Close())
-	})
+	store, client := startStore(t)
 	nested := []byte(strings.Repeat(`{"x":[`, depth))
 	store.Put("servers/odd-listed", nested)
 	store.Put("op/config", []byte(`{"version":1}`))
