Answer every request before the end of a planned stop

From 0.6 on, http.Server.Shutdown also closed idle connections on which a part of a request had arrived, and dropped complete requests that arrived while it waited for others, since net/http returns from its loop after reading a request once the server shuts down.

Change: the new package stopper decides at arrival whether a request is likely to be answered by 0.9 of the limit, from its deadline and from how long recent requests of its service took; one that isn't is refused at once as not run. The query core and the execution core share the decision and limit the deadlines of what is in progress, so that each request gets its reply, a true "not run", or at the end "may have run". Connections are closed only while they carry no request, and the listener after the last one. A second signal brings the end forward instead of cutting. Traces of decisions may hold every kind of event (peers and reach were refused as well).

--- a/event.go
+++ b/event.go
@@ -45,6 +45,7 @@
 	View   *ViewChanged         `json:"view,omitempty"`
 	Peers  *ObservationsArrived `json:"peers,omitempty"`
 	Reach  *DataCentreReached   `json:"reach,omitempty"`
+	Stop   *StopBegun           `json:"stop,omitempty"`
 	Tick   *TickArrived         `json:"tick,omitempty"`
 }
 
@@ -105,6 +106,11 @@
 	DataCentre string `json:"data-centre"`
 }
 
+// StopBegun reports that the host stops gracefully and that every query must be answered by the given time.
+type StopBegun struct {
+	AnswerBy Instant `json:"answer-by"`
+}
+
 // ObservationsArrived carries recent observations of searchers by other hosts of the data centre.
 type ObservationsArrived struct {
 	Observations []Observation `json:"observations"`
--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -165,6 +165,9 @@
 		}
 		executor.table.updateCharge(entry, charge)
 	}
+	if entry.started != 0 && outcome.Status != StatusNotRun {
+		entry.service.history.Record(executor.now.Sub(entry.started))
+	}
 	executor.running = slices.DeleteFunc(executor.running, func(other *keyEntry) bool { return other == entry })
 	for _, call := range entry.waiters {
 		executor.answer(call, outcome)
--- a/executor/event.go
+++ b/executor/event.go
@@ -103,6 +103,8 @@
 type StopCalled struct {
 	// AcceptKeys limits the refusal to reservations, so that callers can still use keys that they have reserved.
 	AcceptKeys bool `json:"accept-keys,omitempty"`
+	// AnswerBy is the time by which every call must be answered, or 0 for no limit.
+	AnswerBy carobthread.Instant `json:"answer-by,omitempty"`
 }
 
 // Action is an output of the state machine; exactly one of the pointers is set.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/stopper"
 )
 
 // Options sets the identity and the limits of one incarnation.
@@ -53,6 +54,7 @@
 	lastAttempt  AttemptID
 	draining     bool // refuses reservations
 	stopping     bool // also refuses keys that are not yet used
+	stop         stopper.Stop
 	superseded   bool // the view lists a later incarnation of this host
 	view         carobthread.View
 	services     map[string]*serviceState
@@ -115,8 +117,7 @@
 	case event.View != nil:
 		executor.applyView(event.View.View)
 	case event.Stop != nil:
-		executor.draining = true
-		executor.stopping = executor.stopping || !event.Stop.AcceptKeys
+		executor.beginStop(event.Stop)
 	case event.Tick != nil:
 		executor.tick()
 	}
@@ -273,6 +274,11 @@
 	if entry.deadline <= executor.now {
 		return carobthread.ReasonDeadlinePassed
 	}
+	request := stopper.Request{Arrived: executor.now, Deadline: entry.deadline, AtMostOnce: true}
+	if !executor.stop.Admits(request, entry.service.history) {
+		return carobthread.ReasonStopping
+	}
+	entry.started, entry.deadline = executor.now, executor.stop.Deadline(entry.deadline)
 	_, reason := executor.chooseSearcher(entry)
 	return reason
 }
@@ -288,6 +294,23 @@
 // call waits forever for a lost answer.
 const FallbackTimeout = 30 * time.Second
 
+// beginStop refuses new work and limits the deadlines of the calls in progress, so that each one is answered before the
+// process ends.
+func (executor *Executor) beginStop(stop *StopCalled) {
+	executor.draining = true
+	executor.stopping = executor.stopping || !stop.AcceptKeys
+	if stop.AnswerBy == 0 {
+		return
+	}
+	executor.stop.Begin(stop.AnswerBy)
+	for _, entry := range executor.running {
+		entry.deadline = executor.stop.Deadline(entry.deadline)
+	}
+	for _, entry := range executor.forwards {
+		entry.deadline = executor.stop.Deadline(entry.deadline)
+	}
+}
+
 // revoke settles an unused key permanently as not run. If the table is full, the key is revoked through highestRefused.
 func (executor *Executor) revoke(entry *keyEntry, reason carobthread.Reason) {
 	executor.stats.Revoked++
--- a/executor/forward.go
+++ b/executor/forward.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"carobthread"
+	"carobthread/stopper"
 )
 
 // forward forwards a call to the host that minted the key. This host cannot know whether the key ran, so every failure
@@ -18,6 +19,7 @@
 		return
 	}
 	executor.stats.Forwarded++
+	deadline = executor.stop.Deadline(deadline)
 	executor.forwards = append(executor.forwards, &forwardEntry{call: call, key: key.String(), deadline: deadline})
 	action.Call = call
 	action.Host = key.Host
@@ -104,9 +106,13 @@
 		searchers[searcher.Name] = state
 	}
 	executor.searchers = searchers
+	previous := executor.services
 	executor.services = make(map[string]*serviceState, len(config.Services))
 	for _, service := range config.Services {
-		state := &serviceState{config: service}
+		state := &serviceState{config: service, history: &stopper.History{}}
+		if known := previous[service.Name]; known != nil {
+			state.history = known.history
+		}
 		if layout, ok := config.Layout(service.Name, service.Layout); ok && len(layout.Shards) > 0 {
 			state.replicas = layout.Shards[0]
 		}
--- a/executor/table.go
+++ b/executor/table.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 
 	"carobthread"
+	"carobthread/stopper"
 )
 
 // entryOverheadBytes is charged for each used key in addition to its payload and result. It covers the entry, its key
@@ -23,6 +24,7 @@
 	hasDigest      bool // digest is set; a key revoked by an outcome query has no digest
 	service        *serviceState
 	payload        []byte
+	started        carobthread.Instant
 	deadline       carobthread.Instant
 	charge         int // bytes counted for the entry in the table
 	waiters        []CallID
@@ -68,6 +70,8 @@
 type serviceState struct {
 	config   carobthread.Service
 	replicas []string
+	// history holds how long recent executions took; it outlasts changes of the configuration.
+	history *stopper.History
 }
 
 // keyTable holds the used keys by sequence number, with limits on the number of entries and bytes.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -105,9 +105,6 @@
 }
 
 func (forwarder *Forwarder) serve(writer http.ResponseWriter, request *http.Request, record *RequestRecord) {
-	if forwarder.stopping.Load() || forwarder.diverting.Load() {
-		writer.Header().Set("Connection", "close")
-	}
 	routes := forwarder.router.Load()
 	if routes == nil {
 		forwarder.refuse(writer, record, carobthread.ReasonNotReady, notReadyRetryAfter)
@@ -206,11 +203,11 @@
 	case outcome.Answer.Failed && len(choice.Route.Shards) == 0 && outcome.Rejected != nil:
 		forwarder.writeReply(writer, record, outcome.Rejected.HTTP)
 	case outcome.Answer.Failed:
-		status := http.StatusBadGateway
-		if record.Arrived.Add(record.TimeLeft) <= forwarder.options.Timer.Now() {
+		reason, status := firstMissingReason(outcome.Answer), http.StatusBadGateway
+		if reason == carobthread.ReasonStopping || record.Arrived.Add(record.TimeLeft) <= forwarder.options.Timer.Now() {
 			status = http.StatusGatewayTimeout
 		}
-		forwarder.fail(writer, record, status, firstMissingReason(outcome.Answer))
+		forwarder.fail(writer, record, status, reason)
 	case len(choice.Route.Shards) > 0:
 		forwarder.writeRecords(writer, record, choice.Route, outcome)
 	default:
@@ -264,6 +261,9 @@
 func (forwarder *Forwarder) write(writer http.ResponseWriter, record *RequestRecord, status int, body []byte) {
 	record.Status = status
 	header := writer.Header()
+	if forwarder.stopping.Load() || forwarder.diverting.Load() {
+		header.Set("Connection", "close")
+	}
 	if len(header["Content-Type"]) == 0 {
 		header["Content-Type"] = nil // prevents net/http from detecting one
 	}
--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"carobthread"
@@ -165,6 +166,16 @@
 	}
 }
 
+// beginStop limits the deadlines of the queries in progress, so that each one is answered before the process ends.
+func (gatherer *Gatherer) beginStop(stop *carobthread.StopBegun) {
+	gatherer.stop.Begin(stop.AnswerBy)
+	for _, query := range slices.Clone(gatherer.timers) {
+		query.deadline = gatherer.stop.Deadline(query.deadline)
+		query.softDeadline = min(query.softDeadline, query.deadline)
+		gatherer.wake(query, min(query.deadline, max(gatherer.now, query.lastStart())))
+	}
+}
+
 // resume makes all observations from before a process pause stale.
 func (gatherer *Gatherer) resume() {
 	gatherer.resumedAt = gatherer.now
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"carobthread"
+	"carobthread/stopper"
 )
 
 // Options selects the policy; the zero value is the current policy, the other values are baselines for comparison.
@@ -31,6 +32,7 @@
 	budgetHosts int
 	retryBudget carobthread.RetryBudget
 	startedAt   carobthread.Instant
+	stop        stopper.Stop
 
 	services       map[string]*serviceRow
 	serviceList    []*serviceRow
@@ -117,6 +119,8 @@
 		gatherer.recordPeerObservations(event.Peers.Observations)
 	case event.Reach != nil:
 		gatherer.centre(event.Reach.DataCentre).reply()
+	case event.Stop != nil:
+		gatherer.beginStop(event.Stop)
 	case event.Tick != nil:
 		gatherer.tick(event.Tick)
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/stopper"
 )
 
 // waitMargin is the safety factor on the estimated wait for a slot: this multiple of it must fit into the time left.
@@ -44,6 +45,12 @@
 		gatherer.refuse(arrived, carobthread.ReasonDeadlinePassed, 0)
 		return
 	}
+	request := stopper.Request{Arrived: gatherer.now, Deadline: deadline, AtMostOnce: service.config.AtMostOnce}
+	if !gatherer.stop.Admits(request, &service.history) {
+		gatherer.refuse(arrived, carobthread.ReasonStopping, 0)
+		return
+	}
+	deadline = gatherer.stop.Deadline(deadline)
 	plan := gatherer.planFor(service)
 	if plan.layout == nil {
 		gatherer.refuse(arrived, carobthread.ReasonNotReady, 0)
@@ -254,7 +261,7 @@
 		}
 		answer.Coverage.Missing = append(answer.Coverage.Missing, carobthread.MissingShard{
 			Shard:  uint32(shard),
-			Reason: state.missingReason(),
+			Reason: gatherer.missingReason(state),
 		})
 	}
 	if query.service.config.FloorRequired && !query.service.floorMet(chosen) {
@@ -262,6 +269,9 @@
 		answer.NotRun = query.mayHaveRun == 0
 		answer.RetryAfterMicros = query.service.admission.RetryAfter().Microseconds()
 	}
+	if !answer.Failed || gatherer.now >= query.deadline {
+		query.service.history.Record(gatherer.now.Sub(query.arrived))
+	}
 	gatherer.stats.Answers++
 	if chosen.complete() {
 		gatherer.stats.CompleteAnswers++
@@ -271,8 +281,10 @@
 }
 
 // missingReason returns why the shard is missing from an answer that is given now.
-func (state *shardState) missingReason() carobthread.Reason {
+func (gatherer *Gatherer) missingReason(state *shardState) carobthread.Reason {
 	switch {
+	case state.inFlightCount > 0 && gatherer.stop.Ended(gatherer.now):
+		return carobthread.ReasonStopping
 	case state.inFlightCount > 0:
 		return carobthread.ReasonTimeout
 	case state.waiting:
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -86,6 +86,8 @@
 			Late: run.number(data, "late", 0), FirstLateMicros: run.duration(data, "first").Microseconds(),
 			LastLateMicros: run.duration(data, "last").Microseconds(), LastReplyMicros: run.duration(data, "replied").Microseconds(),
 		}}}})
+	case "stop":
+		return run.step(carobthread.Event{Stop: &carobthread.StopBegun{AnswerBy: run.now.Add(run.duration(data, "in"))}})
 	case "reach":
 		return run.step(carobthread.Event{Reach: &carobthread.DataCentreReached{DataCentre: run.text(data, "centre", "")}})
 	case "replica-groups":
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -9,6 +9,7 @@
 
 	"carobthread"
 	"carobthread/limiter"
+	"carobthread/stopper"
 )
 
 const (
@@ -220,6 +221,8 @@
 	admission limiter.Admission
 	budget    limiter.Budget
 	latency   latencyWindow
+	// history holds how long recent queries took, for the decisions of a graceful stop.
+	history stopper.History
 	// hedgingPausedUntil is when hedging may start again after an upstream has shed load.
 	hedgingPausedUntil carobthread.Instant
 	waiting            int
--- a/recorder/trace.go
+++ b/recorder/trace.go
@@ -43,7 +43,8 @@
 		return errors.New("want exactly one of header, event and actions")
 	}
 	if event := line.Event; event != nil && countTrue(event.Query != nil, event.Reply != nil, event.Gone != nil,
-		event.Report != nil, event.Config != nil, event.View != nil, event.Tick != nil) != 1 {
+		event.Report != nil, event.Config != nil, event.View != nil, event.Peers != nil, event.Reach != nil, event.Stop != nil,
+		event.Tick != nil) != 1 {
 		return errors.New("an event has exactly one kind")
 	}
 	for i := range line.Actions {
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -27,6 +27,7 @@
 	"carobthread/platform"
 	"carobthread/router"
 	"carobthread/server"
+	"carobthread/stopper"
 	"carobthread/timer"
 	"carobthread/tracer"
 	"carobthread/tracker"
@@ -38,8 +39,11 @@
 	// drainFraction is the fraction of the stop limit in which the balancer may still send connections and callers may still
 	// use open ones.
 	drainFraction = 0.6
-	// shutdownFraction is the fraction of the stop limit after which requests in flight are cut off.
+	// shutdownFraction is the fraction of the stop limit after which the remaining connections are closed; every request
+	// that was read has its answer by then.
 	shutdownFraction = 0.95
+	// abortGrace is the time to write the answers of a stop that is aborted.
+	abortGrace = 100 * time.Millisecond
 	// gaugePeriod is the time between two updates of the gauges.
 	gaugePeriod = 5 * time.Second
 	// headerTimeout bounds the time to read a caller's request header; the routing table's own limit is known only after the
@@ -75,6 +79,7 @@
 	listeners      forwardingListeners
 	ready          atomic.Bool
 	stopping       atomic.Bool
+	connections    *connections
 	closers        []func()
 }
 
@@ -270,6 +275,8 @@
 	mux.HandleFunc("GET /status", host.serveStatus)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	operators := &http.Server{Handler: mux, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout}
+	host.connections = newConnections(host.timer)
+	host.listeners.caller = host.connections.track(callers, host.listeners.caller)
 	host.listeners.servers = []*http.Server{callers, operators}
 }
 
@@ -322,8 +329,9 @@
 }
 
 // stop shuts the host down in this order: it reports that it is not ready and each response closes its connection; for the
-// first part of the stop limit it still serves callers that the balancer sends; in the rest, idle connections are closed
-// and requests in flight may finish.
+// first part of the stop limit it keeps idle connections open for callers that still use them; in the rest, it closes them.
+// A request that arrives is served if it is likely to be answered before the stop limit, and every request that was read is
+// answered by then.
 func (host *ForwardingHost) stop(background context.Context, abort <-chan struct{}) error {
 	limit := host.activeSettings.Load().Stop.Limit
 	ctx, cancel := context.WithTimeout(background, time.Duration(shutdownFraction*float64(limit)))
@@ -331,18 +339,25 @@
 	go func() {
 		select {
 		case <-abort:
+			host.search.Stop(host.timer.Now())
+			timer.Sleep(ctx, host.timer, abortGrace)
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
 	host.stopping.Store(true)
 	host.forwarder.Stop()
+	host.search.Stop(stopper.AnswerBy(host.timer.Now(), limit))
 	host.directory.Leave()
 	host.logger.Info().Str("event", "stopping").Dur("limit", limit).Msg("stopping; the host is no longer ready")
 	timer.Sleep(ctx, host.timer, time.Duration(drainFraction*float64(limit)))
-	err := host.listeners.servers[0].Shutdown(ctx)
-	if err != nil {
-		err = fmt.Errorf("graceful stop was cut short with %d requests in flight: %w", host.search.Pending(), err)
+	host.connections.drain(ctx, host.listeners.caller)
+	var err error
+	if pending := host.search.Pending(); pending > 0 {
+		err = fmt.Errorf("graceful stop was cut short with %d requests in flight: %w", pending, ctx.Err())
+	}
+	if closeErr := host.listeners.servers[0].Close(); !errors.Is(closeErr, net.ErrClosed) { // drain has closed the listener
+		err = errors.Join(err, closeErr)
 	}
 	host.logger.Info().Err(err).Str("event", "stopped").Msg("stopped")
 	return err
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -67,24 +67,26 @@
 
 // Runner is one entry host.
 type Runner struct {
-	options    Options
-	settings   *carobthread.Settings
-	logger     zerolog.Logger
-	timer      carobthread.Timer
-	spans      *tracer.Exporter
-	tracer     trace.Tracer
-	meter      *server.Meter
-	caller     *caller.Caller
-	messenger  *messenger.Messenger
-	watcher    *watcher.Watcher
-	search     *server.Search
-	execution  *server.Execution
-	control    *server.Control
-	listeners  *listeners
-	ready      atomic.Bool
-	stopping   atomic.Bool
-	superseded chan struct{}
-	closers    []func()
+	options   Options
+	settings  *carobthread.Settings
+	logger    zerolog.Logger
+	timer     carobthread.Timer
+	spans     *tracer.Exporter
+	tracer    trace.Tracer
+	meter     *server.Meter
+	caller    *caller.Caller
+	messenger *messenger.Messenger
+	watcher   *watcher.Watcher
+	search    *server.Search
+	execution *server.Execution
+	control   *server.Control
+	listeners *listeners
+	// connections are the callers' connections.
+	connections *connections
+	ready       atomic.Bool
+	stopping    atomic.Bool
+	superseded  chan struct{}
+	closers     []func()
 }
 
 // New builds the components and listens on the host's addresses; it serves once Run is called.
@@ -117,6 +119,8 @@
 	}
 	host.buildPeers(self, options.Seed)
 	host.listeners.callerServer.Handler = host.callerHandler()
+	host.connections = newConnections(host.timer)
+	host.listeners.caller = host.connections.track(host.listeners.callerServer, host.listeners.caller)
 	host.listeners.operatorServer.Handler = host.operatorHandler(registry)
 	host.setView(carobthread.View{Self: self.Name, Hosts: []carobthread.Host{self}})
 	return host, nil
--- a/server/execution.go
+++ b/server/execution.go
@@ -89,9 +89,10 @@
 	execution.step(executor.Event{Tick: &carobthread.TickArrived{LateMicros: late.Microseconds()}})
 }
 
-// Drain refuses new reservations, so that after the load balancer's grace period no caller holds an unused key of this host.
-func (execution *Execution) Drain() {
-	execution.step(executor.Event{Stop: &executor.StopCalled{AcceptKeys: true}})
+// Drain refuses new reservations, so that after the load balancer's grace period no caller holds an unused key of this host,
+// and answers every call by the given time.
+func (execution *Execution) Drain(answerBy carobthread.Instant) {
+	execution.step(executor.Event{Stop: &executor.StopCalled{AcceptKeys: true, AnswerBy: answerBy}})
 }
 
 // Stop refuses new work as not run; requests in progress continue.
--- a/server/execution_test.go
+++ b/server/execution_test.go
@@ -317,7 +317,7 @@
 		load := fleet.startLoad()
 		load.waitRound()
 		host := fleet.hosts[round%len(fleet.hosts)]
-		host.Drain()
+		host.Drain(0)
 		host.leaving.Store(true)
 		load.waitRound() // the load balancer's grace period: callers use the keys that they hold
 		host.Stop()
--- a/server/search.go
+++ b/server/search.go
@@ -220,6 +220,11 @@
 	search.step(carobthread.Event{Reach: &carobthread.DataCentreReached{DataCentre: dataCentre}})
 }
 
+// Stop makes the core answer every query by the given time, and refuse those that are unlikely to be answered by then.
+func (search *Search) Stop(answerBy carobthread.Instant) {
+	search.step(carobthread.Event{Stop: &carobthread.StopBegun{AnswerBy: answerBy}})
+}
+
 // Search answers one query; a refusal is a connect error with state not-run.
 func (search *Search) Search(ctx context.Context, request *connect.Request[carobthreadv1.SearchRequest]) (*connect.Response[carobthreadv1.SearchResponse], error) {
 	started := search.options.Timer.Now()
