Refuse a reply without a request ID on a used connection

Cause: a reply whose Request-Id was missing was taken for the reply to the request in progress. A searcher's second, late copy of an earlier answer that lacks the ID, on a connection that was in use again, so reached the next caller as its own answer.

Change: on a connection that has carried a request, a reply must name the request; one that doesn't ends the attempt as "may have run" and closes the connection. A request without an ID gets a new connection, which isn't used again.

--- a/caller/http.go
+++ b/caller/http.go
@@ -38,6 +38,9 @@
 // errSearcherLeaving is returned for requests to a searcher that is leaving.
 var errSearcherLeaving = errors.New("the searcher is leaving")
 
+// errUnidentifiedReply is returned for a reply without a request ID on a connection that has been used before.
+var errUnidentifiedReply = errors.New("the reply has no request ID and may be a copy of an earlier one")
+
 // errTooManyLargeReplies is returned for a reply that would exceed HTTPOptions.MaxLargeReplyBytes.
 var errTooManyLargeReplies = errors.New("too many large replies at once")
 
@@ -160,7 +163,7 @@
 // SearchShard forwards one attempt. A failure is a *RequestError whose state is NotRun only if no byte was written.
 func (caller *HTTPCaller) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
 	pool := caller.pool(searcher)
-	conn, err := caller.acquire(ctx, pool, request.AtMostOnce)
+	conn, err := caller.acquire(ctx, pool, request.Request.ID, request.AtMostOnce)
 	if err != nil {
 		return nil, newRequestError(carobthread.NotRun, request.Service, err)
 	}
@@ -180,8 +183,9 @@
 }
 
 // acquire returns a connection that its searcher is not about to close. An at-most-once request gets no connection
-// that was idle for longer than maxAtMostOnceIdle, since a searcher may have dropped an idle connection silently.
-func (caller *HTTPCaller) acquire(ctx context.Context, pool *pool, atMostOnce bool) (*connection, error) {
+// that was idle for longer than maxAtMostOnceIdle, since a searcher may have dropped an idle connection silently. A
+// request without an ID gets a new connection, since its reply can't be told from a second copy of an earlier one.
+func (caller *HTTPCaller) acquire(ctx context.Context, pool *pool, id string, atMostOnce bool) (*connection, error) {
 	for {
 		conn, err := pool.acquire(ctx, true)
 		if err != nil {
@@ -190,7 +194,8 @@
 		now := caller.options.Timer.Now()
 		expired := conn.expiresAt != 0 && now >= conn.expiresAt
 		idleTooLong := atMostOnce && conn.lastUsedAt != 0 && now.Sub(conn.lastUsedAt) > maxAtMostOnceIdle
-		if !expired && !idleTooLong {
+		unidentifiable := id == "" && conn.lastUsedAt != 0
+		if !expired && !idleTooLong && !unidentifiable {
 			return conn, nil
 		}
 		pool.release(conn, false)
@@ -214,12 +219,24 @@
 		return nil, false, fmt.Errorf("read reply: %w", err)
 	}
 	names := &caller.options.Headers
-	if echoed := response.Header.Get(names.RequestID); echoed != "" && echoed != request.Request.ID {
-		return nil, false, fmt.Errorf("the reply is for request %q", echoed)
+	if err := checkEcho(response.Header.Get(names.RequestID), request.Request.ID, conn.lastUsedAt != 0); err != nil {
+		return nil, false, err
 	}
 	conn.expiresAt = caller.keepAliveExpiry(response.Header)
 	conn.lastUsedAt = caller.options.Timer.Now()
-	return caller.classifyReply(request, response, body), !response.Close, nil
+	return caller.classifyReply(request, response, body), !response.Close && request.Request.ID != "", nil
+}
+
+// checkEcho returns an error unless the reply belongs to the request with the ID. A connection that has been used may carry
+// a late second copy of an earlier reply, so only a reply on a new connection may lack the ID.
+func checkEcho(echoed, id string, used bool) error {
+	switch {
+	case echoed == "" && used:
+		return errUnidentifiedReply
+	case echoed != "" && echoed != id:
+		return fmt.Errorf("the reply is for request %q", echoed)
+	}
+	return nil
 }
 
 // readBody reads a reply's body up to its end. The blocks after the first one count against MaxLargeReplyBytes, so that many
--- a/internal/standin/http_searcher.go
+++ b/internal/standin/http_searcher.go
@@ -171,6 +171,8 @@
 // ServeHTTP runs one request and sets the signature header of the response to the request ID, the group and the searcher ID.
 func (searcher *HTTPSearcher) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	names := &searcher.options.Headers
+	id := request.Header.Get(names.RequestID)
+	writer.Header().Set(names.RequestID, id)
 	if expected := request.Header.Get(names.ExpectInstance); expected != "" && expected != searcher.options.ID {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -178,7 +180,6 @@
 	if searcher.draining.Load() {
 		searcher.requestsWhileDraining.Add(1)
 	}
-	id := request.Header.Get(names.RequestID)
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
@@ -203,7 +204,6 @@
 	if searcher.options.Records > 0 {
 		body = searcher.records()
 	}
-	writer.Header().Set(names.RequestID, id)
 	writer.Header().Set(names.Signature, id+"."+searcher.options.Group+"."+searcher.options.ID)
 	writer.Header().Set(names.Load, strconv.Itoa(len(searcher.slots))+",0,"+strconv.Itoa(searcher.options.Slots))
 	_, _ = writer.Write(body) // the caller may have disconnected
