Keep an unexpected error from ending the process

Cause: a panic in a goroutine ends a Go process. Attempts, peer requests, executions, ticks, reads of the store, exchanges, polls and the reload loop ran without any recovery, so one malformed reply or message could take the host down; in a caller's handler net/http recovered, but closed the connection without an answer and left the query core locked, after which no request was answered.

Change: the new package recoverer runs each piece of work and logs a panic with its stack. An attempt or an execution that panics may have run; a caller's request gets 502 with the reason internal-error, and the connection is aborted only if a part of the answer may have been written. The locks of the cores are released by defer, and a query in which the core panics isn't kept. A loop goes on with its next turn. The HTTP servers log to the structured log.

--- a/caller/http_faults_test.go
+++ b/caller/http_faults_test.go
@@ -187,3 +187,37 @@
 		}
 	}
 }
+
+// Guards against a reply that crashes the host, or that counts as a success without the searcher's signature.
+func FuzzHTTPReply(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nNot-Executed:\r\nRetry-After: 1e99\r\nServer-Load: ,,\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: -1\r\nKeep-Alive: timeout=99999999999999999999\r\n\r\n"))
+	f.Add([]byte("\x00\xff"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f, err)
+	f.Cleanup(func() { assert.Check(f, listener.Close()) })
+	replies := make(chan []byte, 1)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = conn.Write(<-replies)
+			_ = conn.Close()
+		}
+	}()
+	searcher := carobthread.Searcher{Name: "s", Address: listener.Addr().String(), Instance: "i"}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 1})
+		defer client.Close()
+		replies <- content
+		reply, err := client.SearchShard(t.Context(), searcher, newShardRequest("r1", "/x/1"))
+		if err == nil && reply.Status == carobthread.ReplyOK {
+			assert.Check(t, reply.HTTP.Signature != "")
+		}
+	})
+}
--- a/errors.go
+++ b/errors.go
@@ -44,6 +44,8 @@
 	ReasonLayoutMissing    Reason = "layout-missing"
 	ReasonHostUnreachable  Reason = "host-unreachable"
 	ReasonConnectionLost   Reason = "connection-lost"
+	// ReasonInternal is an unexpected error of the host.
+	ReasonInternal Reason = "internal-error"
 )
 
 // RequestError is the failure of one request; callers may rely on its State.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,9 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"carobthread"
 	"carobthread/caller"
 	"carobthread/planner"
+	"carobthread/recoverer"
 	"carobthread/router"
 	"carobthread/server"
 )
@@ -41,6 +44,8 @@
 	Headers     carobthread.HeaderNames
 	QueryRunner QueryRunner
 	Timer       carobthread.Timer
+	// Logger receives unexpected errors; the zero value writes nothing.
+	Logger zerolog.Logger
 	// OnRequestEnd, if set, is called after each request, whether it was answered or abandoned.
 	OnRequestEnd func(record *RequestRecord)
 }
@@ -97,7 +102,13 @@
 // ServeHTTP handles one request.
 func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	record := &RequestRecord{ID: request.Header.Get(forwarder.options.Headers.RequestID), Arrived: forwarder.options.Timer.Now()}
-	forwarder.serve(writer, request, record)
+	if err := recoverer.Run(&forwarder.options.Logger, "request", func() { forwarder.serve(writer, request, record) }); err != nil {
+		if record.Status != 0 {
+			panic(http.ErrAbortHandler) // a part of the answer may have been written, which must not look complete
+		}
+		// The request may have run.
+		forwarder.fail(writer, record, http.StatusBadGateway, carobthread.ReasonInternal)
+	}
 	record.Took = forwarder.options.Timer.Now().Sub(record.Arrived)
 	if forwarder.options.OnRequestEnd != nil {
 		forwarder.options.OnRequestEnd(record)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -26,6 +26,7 @@
 	clock    carobthread.Timer
 	timeLeft time.Duration
 	header   http.Header
+	panics   bool
 }
 
 var _ forwarder.QueryRunner = (*stubRunner)(nil)
@@ -33,6 +34,9 @@
 func (runner *stubRunner) RunQuery(_ context.Context, query server.Query) (server.Outcome, error) {
 	runner.timeLeft = query.Deadline.Sub(runner.clock.Now())
 	runner.header = query.Request.HTTP.Header
+	if runner.panics {
+		panic("unexpected")
+	}
 	return runner.outcome, nil
 }
 
@@ -43,6 +47,7 @@
 			names := platform.Headers()
 			clock := timer.NewManual(carobthread.At(time.Unix(1, 0)))
 			stub := &stubRunner{clock: clock, outcome: outcome(t, data)}
+			stub.panics = data.HasArg("panics")
 			handler := forwarder.New(forwarder.Options{Headers: names, QueryRunner: stub, Timer: clock})
 			if !data.HasArg("no-routing-table") {
 				handler.SetRouter(router.New(routes()))
@@ -115,7 +120,9 @@
 			reply(http.StatusOK, "signature-1", "aaaaaaaaaaaaaaaacccccccccccccccc"), reply(http.StatusOK, "signature-2", "bbbbbbbbbbbbbbbbrest"),
 		}
 	case "failed":
-		result.Answer.Coverage = carobthread.Coverage{Total: 1, Missing: []carobthread.MissingShard{{Reason: carobthread.ReasonUpstreamFailed}}}
+		reason := string(carobthread.ReasonUpstreamFailed)
+		data.MaybeScanArgs(t, "reason", &reason)
+		result.Answer.Coverage = carobthread.Coverage{Total: 1, Missing: []carobthread.MissingShard{{Reason: carobthread.Reason(reason)}}}
 		result.Answer.Failed, result.Answer.NotRun = true, data.HasArg("not-run")
 		result.Answer.RetryAfterMicros = wait.Microseconds()
 		if rejected != 0 {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -22,6 +22,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"carobthread"
+	"carobthread/recoverer"
 )
 
 // Limits and timeouts of links and requests.
@@ -228,6 +229,13 @@
 	return interval/2 + time.Duration(messenger.random.Int64N(int64(interval/2)+1))
 }
 
-func (messenger *Messenger) handle(ctx context.Context, peer, method string, body json.RawMessage) (any, error) {
-	return messenger.options.Handler.Handle(ctx, peer, method, body)
+// handle serves one request of a peer; a panic ends this request alone, which may have run.
+func (messenger *Messenger) handle(ctx context.Context, peer, method string, body json.RawMessage) (result any, err error) {
+	panicked := recoverer.Run(&messenger.options.Logger, "peer-request", func() {
+		result, err = messenger.options.Handler.Handle(ctx, peer, method, body)
+	})
+	if panicked != nil {
+		return nil, &carobthread.RequestError{State: carobthread.MayHaveRun, Reason: carobthread.ReasonInternal, Detail: "method " + method}
+	}
+	return result, err
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -288,3 +288,17 @@
 		_, _ = messenger.DecodeReply(frame)
 	})
 }
+
+// Guards against one request of a peer that ends the whole process with a panic.
+func TestPanicEndsOneRequestAlone(t *testing.T) {
+	_, address := serve(t, handlerFunc(func(_ context.Context, _, method string, _ json.RawMessage) (any, error) {
+		if method == "panic" {
+			panic("malformed")
+		}
+		return 7, nil
+	}))
+	peer := dialler(t, address)
+	err := peer.Call(t.Context(), "a", "panic", nil, nil)
+	assert.Equal(t, runState(err), carobthread.MayHaveRun, "%v", err)
+	assert.NilError(t, peer.Call(t.Context(), "a", "echo", nil, nil))
+}
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -90,7 +90,9 @@
 
 // NewForwardingHost builds the components and listens on the host's addresses; it serves once Run is called.
 func NewForwardingHost(ctx context.Context, options Options) (*ForwardingHost, error) {
-	host := &ForwardingHost{options: options, settings: &options.Settings, logger: options.Logger, timer: timer.New()}
+	clock := timer.New()
+	clock.SetLogger(options.Logger)
+	host := &ForwardingHost{options: options, settings: &options.Settings, logger: options.Logger, timer: clock}
 	host.activeSettings.Store(host.settings)
 	host.setRuntimeLimits()
 	spans, err := tracer.New(ctx, options.Settings.Host.Name, options.Settings.Trace.Spans)
@@ -150,7 +152,9 @@
 		Linger:    losingAttemptGrace,
 		Logger:    host.logger,
 	})
-	host.forwarder = forwarder.New(forwarder.Options{Headers: headers, QueryRunner: host.search, Timer: host.timer, OnRequestEnd: host.recordRequest})
+	host.forwarder = forwarder.New(forwarder.Options{
+		Headers: headers, QueryRunner: host.search, Timer: host.timer, Logger: host.logger, OnRequestEnd: host.recordRequest,
+	})
 	host.buildDirectory()
 }
 
@@ -258,6 +262,7 @@
 func (host *ForwardingHost) buildServers(registry *prometheus.Registry) {
 	limits := &host.settings.Limits
 	callers := &http.Server{
+		ErrorLog:          errorLog(host.logger),
 		Handler:           host.forwarder,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -274,7 +279,9 @@
 	})
 	mux.HandleFunc("GET /status", host.serveStatus)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	operators := &http.Server{Handler: mux, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout}
+	operators := &http.Server{
+		ErrorLog: errorLog(host.logger), Handler: mux, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
+	}
 	host.connections = newConnections(host.timer)
 	host.listeners.caller = host.connections.track(callers, host.listeners.caller)
 	host.listeners.servers = []*http.Server{callers, operators}
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 
 	"carobthread"
 	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
@@ -27,7 +29,7 @@
 }
 
 // listen binds every address before serving any, so that a wrong address fails the start.
-func listen(ctx context.Context, settings *carobthread.Settings) (*listeners, error) {
+func listen(ctx context.Context, settings *carobthread.Settings, logger zerolog.Logger) (*listeners, error) {
 	set := &listeners{}
 	err := bind(ctx,
 		binding{&set.caller, "callers", settings.Host.CallerAddress},
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, errors.Join(err, set.close())
 	}
-	set.build(settings)
+	set.build(settings, logger)
 	return set, nil
 }
 
@@ -79,12 +81,13 @@
 }
 
 // build creates the HTTP servers with limits against slow and idle clients.
-func (set *listeners) build(settings *carobthread.Settings) {
+func (set *listeners) build(settings *carobthread.Settings, logger zerolog.Logger) {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	limits := &settings.Limits
 	set.callerServer = &http.Server{
+		ErrorLog:          errorLog(logger),
 		Protocols:         protocols,
 		ReadHeaderTimeout: limits.ReadTimeout,
 		ReadTimeout:       limits.ReadTimeout,
@@ -92,12 +95,18 @@
 		MaxHeaderBytes:    limits.MaxHeaderSize,
 	}
 	set.operatorServer = &http.Server{
+		ErrorLog:          errorLog(logger),
 		ReadHeaderTimeout: limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderSize,
 	}
 }
 
+// errorLog returns the log of an HTTP server, which also recovers from panics in its handlers.
+func errorLog(logger zerolog.Logger) *log.Logger {
+	return log.New(logger.With().Str("event", "http-server").Logger(), "", 0)
+}
+
 // serve starts both servers; the channel receives the error of each one that ends.
 func (set *listeners) serve() chan error {
 	serveErrors := make(chan error, 3)
@@ -113,6 +122,7 @@
 	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(
 		server.NewQueryHandler(host.search, host.execution),
 		connect.WithReadMaxBytes(host.settings.Limits.MaxRequestSize),
+		connect.WithRecover(server.RecoverCall(host.logger)),
 	))
 	traced := tracer.Handler(mux)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -11,6 +11,7 @@
 
 	"carobthread"
 	"carobthread/parser"
+	"carobthread/recoverer"
 	"carobthread/timer"
 )
 
@@ -39,7 +40,7 @@
 			select {
 			case <-signals:
 				reloader.logger.Info().Str("event", "reload-asked").Msg("reloading the settings file on a signal")
-				reloader.Check()
+				reloader.checkOnce()
 			case <-ctx.Done():
 				return
 			}
@@ -47,10 +48,14 @@
 	}()
 	for ctx.Err() == nil {
 		timer.Sleep(ctx, clock, checkPeriod)
-		reloader.Check()
+		reloader.checkOnce()
 	}
 }
 
+func (reloader *Reloader) checkOnce() {
+	_ = recoverer.Run(&reloader.logger, "reload", reloader.Check) // Run logs the panic
+}
+
 // Check reads the file and applies it if it has changed; if the settings have findings, it logs them and applies nothing.
 func (reloader *Reloader) Check() {
 	reloader.mutex.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -91,11 +91,13 @@
 
 // New builds the components and listens on the host's addresses; it serves once Run is called.
 func New(ctx context.Context, options Options) (*Runner, error) {
+	clock := timer.New()
+	clock.SetLogger(options.Logger)
 	host := &Runner{
 		options:    options,
 		settings:   &options.Settings,
 		logger:     options.Logger,
-		timer:      timer.New(),
+		timer:      clock,
 		superseded: make(chan struct{}, 1),
 	}
 	spans, err := tracer.New(ctx, options.Settings.Host.Name, options.Settings.Trace.Spans)
@@ -108,7 +110,7 @@
 	scope, closeScope := newScope(host.settings, registry)
 	host.closers = append(host.closers, closeScope)
 	host.meter = server.NewMeter(scope)
-	host.listeners, err = listen(ctx, host.settings)
+	host.listeners, err = listen(ctx, host.settings, host.logger)
 	if err != nil {
 		return nil, err
 	}
@@ -151,6 +153,7 @@
 		Upstream:  host.caller,
 		Tracer:    host.tracer,
 		Meter:     host.meter,
+		Logger:    host.logger,
 		OnDrain:   func(searcher string, leaving bool) { host.control.RecordSearcherState(searcher, leaving) },
 		OnReport:  func(report carobthread.ReportArrived) { host.execution.Report(report) },
 	}), nil
@@ -193,6 +196,7 @@
 		Peers:  host.messenger,
 		Runner: host.caller,
 		Tracer: host.tracer,
+		Logger: host.logger,
 	})
 }
 
--- a/server/control.go
+++ b/server/control.go
@@ -12,6 +12,7 @@
 
 	"carobthread"
 	"carobthread/applier"
+	"carobthread/recoverer"
 	"carobthread/relayer"
 	"carobthread/tracker"
 )
@@ -178,10 +179,12 @@
 		defer control.calls.Done()
 		ctx, cancel := context.WithTimeout(control.ctx, deadline.Sub(now))
 		defer cancel()
-		event := work(ctx)
-		if control.ctx.Err() == nil {
-			control.step(event)
-		}
+		_ = recoverer.Run(&control.options.Logger, "control", func() {
+			event := work(ctx)
+			if control.ctx.Err() == nil {
+				control.step(event)
+			}
+		})
 	}()
 }
 
--- a/server/exchanges.go
+++ b/server/exchanges.go
@@ -9,6 +9,7 @@
 
 	"carobthread"
 	"carobthread/follower"
+	"carobthread/recoverer"
 	"carobthread/timer"
 	"carobthread/tracker"
 )
@@ -47,32 +48,34 @@
 // exchangeLoop exchanges with one peer after the other and applies the held removals of searchers that are due.
 func (directory *Directory) exchangeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		directory.exchange(ctx)
-		directory.applyHeldRemovals()
-		directory.logStaleness()
-		directory.mutex.Lock()
-		period := directory.options.Timing.ExchangeInterval
-		if directory.options.Follower.Digest().Version == 0 {
-			period = min(period, startupExchangeInterval)
-		}
-		period = period/2 + time.Duration(directory.random.Int64N(int64(period)))
-		directory.stepTrackerLocked(tracker.Event{Tick: &carobthread.TickArrived{}})
-		directory.mutex.Unlock()
-		timer.Sleep(ctx, directory.options.Timer, period)
+		_ = recoverer.Run(&directory.options.Logger, "store-exchange", func() { directory.exchangeOnce(ctx) })
+		timer.Sleep(ctx, directory.options.Timer, directory.exchangePeriod())
 	}
 }
 
-func (directory *Directory) exchange(ctx context.Context) {
-	started := directory.now()
+func (directory *Directory) exchangeOnce(ctx context.Context) {
+	directory.exchange(ctx)
+	directory.applyHeldRemovals()
+	directory.logStaleness()
 	directory.mutex.Lock()
-	peer, join := directory.nextPeer(started)
-	request := exchangeMessage{
-		Gossip:       directory.options.Tracker.Gossip(peer, tracker.SameDataCentre),
-		Digest:       directory.options.Follower.Digest(),
-		Join:         join,
-		Observations: directory.observationsRequestLocked(peer),
+	defer directory.mutex.Unlock()
+	directory.stepTrackerLocked(tracker.Event{Tick: &carobthread.TickArrived{}})
+}
+
+// exchangePeriod returns the time until the next exchange.
+func (directory *Directory) exchangePeriod() time.Duration {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	period := directory.options.Timing.ExchangeInterval
+	if directory.options.Follower.Digest().Version == 0 {
+		period = min(period, startupExchangeInterval)
 	}
-	directory.mutex.Unlock()
+	return period/2 + time.Duration(directory.random.Int64N(int64(period)))
+}
+
+func (directory *Directory) exchange(ctx context.Context) {
+	started := directory.now()
+	peer, request := directory.exchangeRequest(started)
 	if peer == "" {
 		return
 	}
@@ -80,19 +83,8 @@
 	defer cancel()
 	var answer exchangeMessage
 	err := directory.options.Peers.Call(ctx, peer, MethodStoreExchange, request, &answer)
-	directory.mutex.Lock()
-	directory.stats.Exchanges++
-	if err != nil {
-		directory.stats.ExchangesFailed++
-		directory.stepTrackerLocked(tracker.Event{Silent: &tracker.HostSilent{Host: peer}})
-		directory.mutex.Unlock()
-		return
-	}
-	directory.stepTrackerLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Locality: tracker.SameDataCentre, Gossip: answer.Gossip}})
-	directory.applyObservationsLocked(peer, answer.Observations)
-	directory.reportReachedLocked(peer)
-	directory.mutex.Unlock()
-	if answer.Delta == nil {
+	directory.recordExchange(peer, &answer, err)
+	if err != nil || answer.Delta == nil {
 		return
 	}
 	if err := answer.decompress(); err != nil {
@@ -110,6 +102,34 @@
 	})
 }
 
+// exchangeRequest returns the peer of the next exchange, or "" without one, and the request to it.
+func (directory *Directory) exchangeRequest(now carobthread.Instant) (string, exchangeMessage) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	peer, join := directory.nextPeer(now)
+	return peer, exchangeMessage{
+		Gossip:       directory.options.Tracker.Gossip(peer, tracker.SameDataCentre),
+		Digest:       directory.options.Follower.Digest(),
+		Join:         join,
+		Observations: directory.observationsRequestLocked(peer),
+	}
+}
+
+// recordExchange records what an exchange says of the membership, or that the peer did not answer.
+func (directory *Directory) recordExchange(peer string, answer *exchangeMessage, err error) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.stats.Exchanges++
+	if err != nil {
+		directory.stats.ExchangesFailed++
+		directory.stepTrackerLocked(tracker.Event{Silent: &tracker.HostSilent{Host: peer}})
+		return
+	}
+	directory.stepTrackerLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Locality: tracker.SameDataCentre, Gossip: answer.Gossip}})
+	directory.applyObservationsLocked(peer, answer.Observations)
+	directory.reportReachedLocked(peer)
+}
+
 // nextPeer returns the peer of the next exchange: the host whose copy is most likely the newest, a host of a cut-off data
 // centre, a random one, or a contact from the settings; join is set for a contact.
 func (directory *Directory) nextPeer(now carobthread.Instant) (peer string, join bool) {
--- a/server/execution.go
+++ b/server/execution.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	"carobthread"
 	"carobthread/executor"
+	"carobthread/recoverer"
 	"carobthread/rpc/carobthreadv1"
 )
 
@@ -33,6 +35,8 @@
 	Peers  carobthread.Peers
 	Runner Runner
 	Tracer trace.Tracer
+	// Logger receives unexpected errors; the zero value writes nothing.
+	Logger zerolog.Logger
 }
 
 // Execution serves at-most-once requests that carry an idempotency key; it owns their core.
@@ -241,12 +245,7 @@
 // call steps the core with a new call and waits for its answer. If the caller leaves first, a run in progress continues.
 func (execution *Execution) call(ctx context.Context, newEvent func(call executor.CallID) executor.Event) (executor.Action, error) {
 	answer := make(chan executor.Action, 1)
-	execution.mutex.Lock()
-	execution.nextCall++
-	id := execution.nextCall
-	execution.pending[id] = answer
-	execution.stepLocked(newEvent(id))
-	execution.mutex.Unlock()
+	id := execution.startCall(answer, newEvent)
 	select {
 	case action := <-answer:
 		return action, nil
@@ -260,6 +259,23 @@
 	}
 }
 
+func (execution *Execution) startCall(answer chan executor.Action, newEvent func(call executor.CallID) executor.Event) executor.CallID {
+	execution.mutex.Lock()
+	defer execution.mutex.Unlock()
+	execution.nextCall++
+	id := execution.nextCall
+	execution.pending[id] = answer
+	started := false
+	defer func() {
+		if !started { // the core has panicked
+			delete(execution.pending, id)
+		}
+	}()
+	execution.stepLocked(newEvent(id))
+	started = true
+	return id
+}
+
 func (execution *Execution) step(event executor.Event) {
 	execution.mutex.Lock()
 	defer execution.mutex.Unlock()
@@ -296,26 +312,36 @@
 	execution.signalIdleLocked()
 }
 
-// startWorkLocked runs the work in a goroutine and then steps the core with the event that it returns.
-func (execution *Execution) startWorkLocked(key string, timeout time.Duration, work func(ctx context.Context) executor.Event) {
+// startWorkLocked runs the work in a goroutine and then steps the core with the event that it returns, or with the failed one
+// after a panic.
+func (execution *Execution) startWorkLocked(key string, timeout time.Duration, failed executor.Event, work func(ctx context.Context) executor.Event) {
 	execution.inFlight++
 	parent := trace.ContextWithSpanContext(context.Background(), execution.spans[key])
 	go func() {
 		ctx, cancel := context.WithTimeout(parent, timeout+lateGrace)
 		defer cancel()
-		event := work(ctx)
-		execution.mutex.Lock()
-		defer execution.mutex.Unlock()
-		execution.inFlight--
-		execution.stepLocked(event)
-		execution.signalIdleLocked()
+		event := failed
+		_ = recoverer.Run(&execution.options.Logger, "execution", func() { event = work(ctx) })
+		_ = recoverer.Run(&execution.options.Logger, "execution-end", func() { execution.endWork(event) })
 	}()
 }
 
+// endWork steps the core with the end of an attempt or forward.
+func (execution *Execution) endWork(event executor.Event) {
+	execution.mutex.Lock()
+	defer execution.mutex.Unlock()
+	execution.inFlight--
+	execution.stepLocked(event)
+	execution.signalIdleLocked()
+}
+
 // sendLocked starts one attempt with a context of its own, since the run continues when its caller leaves.
 func (execution *Execution) sendLocked(now carobthread.Instant, send *executor.SendRun) {
 	searcher, known := execution.searchers[send.Searcher]
-	execution.startWorkLocked(send.Key, send.Deadline.Sub(now), func(ctx context.Context) executor.Event {
+	failed := executor.Event{Ended: &executor.AttemptEnded{
+		Attempt: send.Attempt, Key: send.Key, Status: executor.StatusUnknown, Reason: carobthread.ReasonInternal,
+	}}
+	execution.startWorkLocked(send.Key, send.Deadline.Sub(now), failed, func(ctx context.Context) executor.Event {
 		ended := &executor.AttemptEnded{Attempt: send.Attempt, Key: send.Key, Status: executor.StatusNotRun, Reason: carobthread.ReasonNoReplica}
 		if known {
 			execution.run(ctx, searcher, send, ended)
--- a/server/failure.go
+++ b/server/failure.go
@@ -1,10 +1,15 @@
 package server
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"net/http"
+	"runtime/debug"
 	"strconv"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 
 	"carobthread"
 )
@@ -61,3 +66,12 @@
 		Detail: failure.Message(),
 	}
 }
+
+// RecoverCall returns the function that logs a panic in a caller's request and answers that the request may have run.
+func RecoverCall(logger zerolog.Logger) func(ctx context.Context, spec connect.Spec, header http.Header, value any) error {
+	return func(_ context.Context, spec connect.Spec, _ http.Header, value any) error {
+		logger.Error().Str("event", "panic").Str("work", spec.Procedure).Str("error", fmt.Sprint(value)).Bytes("stack", debug.Stack()).
+			Msg("unexpected error; only this piece of work ends")
+		return connectError(&carobthread.RequestError{State: carobthread.MayHaveRun, Reason: carobthread.ReasonInternal, Detail: spec.Procedure})
+	}
+}
--- a/server/forward.go
+++ b/server/forward.go
@@ -59,7 +59,8 @@
 	if deadline != 0 {
 		timeout = deadline.Sub(now)
 	}
-	execution.startWorkLocked(call.Key, timeout, func(ctx context.Context) executor.Event {
+	failed := executor.Event{Forward: &executor.ForwardEnded{Call: forward.Call, Failed: true}}
+	execution.startWorkLocked(call.Key, timeout, failed, func(ctx context.Context) executor.Event {
 		ctx, span := execution.options.Tracer.Start(ctx, "forward", trace.WithAttributes(attribute.String("peer", forward.Host)))
 		defer span.End()
 		ended := &executor.ForwardEnded{Call: forward.Call}
--- a/server/poll.go
+++ b/server/poll.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"carobthread"
+	"carobthread/recoverer"
 )
 
 // Poll requests a report from every configured searcher and passes the reports to the core.
@@ -21,7 +22,9 @@
 	}
 	var polls sync.WaitGroup
 	for _, searcher := range searchers {
-		polls.Go(func() { search.poll(ctx, reporter, searcher) })
+		polls.Go(func() {
+			_ = recoverer.Run(&search.options.Logger, "poll", func() { search.poll(ctx, reporter, searcher) })
+		})
 	}
 	polls.Wait()
 }
--- a/server/search.go
+++ b/server/search.go
@@ -17,6 +17,7 @@
 	"carobthread"
 	"carobthread/gatherer"
 	"carobthread/logger"
+	"carobthread/recoverer"
 	"carobthread/rpc/carobthreadv1"
 )
 
@@ -147,7 +148,13 @@
 
 // Configure applies a configuration to the queries that arrive from now on.
 func (search *Search) Configure(config carobthread.Config) {
+	search.configure(config)
+	search.ready.Store(true)
+}
+
+func (search *Search) configure(config carobthread.Config) {
 	search.mutex.Lock()
+	defer search.mutex.Unlock()
 	previous := search.searchers
 	search.searchers = make(map[string]carobthread.Searcher, len(config.Searchers))
 	config.Searchers = search.markDepartures(config.Searchers)
@@ -156,8 +163,6 @@
 	}
 	search.updateLeaving(previous)
 	search.stepLocked(carobthread.Event{Config: &carobthread.ConfigChanged{Config: config}})
-	search.mutex.Unlock()
-	search.ready.Store(true)
 }
 
 // updateLeaving tells the upstream which searchers are leaving or gone, so that no unwritten request is sent to them.
@@ -279,13 +284,7 @@
 		replies:    map[carobthread.AttemptID]*carobthread.ShardReply{},
 		done:       make(chan Outcome, 1),
 	}
-	arrived := &carobthread.QueryArrived{
-		Query: id, Service: params.Request.Service, Deadline: params.Deadline, Size: len(params.Request.Body),
-	}
-	search.mutex.Lock()
-	search.pending[id] = query
-	search.stepLocked(carobthread.Event{Query: arrived})
-	search.mutex.Unlock()
+	search.start(id, query, params.Deadline)
 	select {
 	case outcome := <-query.done:
 		return outcome, nil
@@ -295,6 +294,23 @@
 	}
 }
 
+// start passes a new query to the core; a query in which the core panics isn't kept.
+func (search *Search) start(id carobthread.QueryID, query *pendingQuery, deadline carobthread.Instant) {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	search.pending[id] = query
+	started := false
+	defer func() {
+		if !started {
+			delete(search.pending, id)
+		}
+	}()
+	search.stepLocked(carobthread.Event{Query: &carobthread.QueryArrived{
+		Query: id, Service: query.request.Service, Deadline: deadline, Size: len(query.request.Body),
+	}})
+	started = true
+}
+
 func (search *Search) abandon(id carobthread.QueryID) {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
@@ -438,7 +454,11 @@
 	go func() {
 		defer search.running.Done()
 		defer cancel()
-		search.attempt(ctx, query, searcher, action)
+		logger := &search.options.Logger
+		if err := recoverer.Run(logger, "attempt", func() { search.attempt(ctx, query, searcher, action) }); err != nil {
+			// The attempt may have run; its query ends or goes on without it.
+			_ = recoverer.Run(logger, "attempt-end", func() { search.reply(action, nil, err) })
+		}
 	}()
 }
 
@@ -483,7 +503,16 @@
 		event.SnapshotAgeMicros = reply.SnapshotAgeMicros
 		event.Backpressure = reply.Backpressure
 	}
+	search.applyReply(action, event, reply, matches, err)
+	if event.Draining || event.Status == carobthread.ReplyDraining {
+		search.recordDraining(action.Searcher, true)
+	}
+}
+
+// applyReply stores a reply that matches its attempt and passes the end of the attempt to the core.
+func (search *Search) applyReply(action *carobthread.SendAttempt, event *carobthread.ReplyArrived, reply *carobthread.ShardReply, matches bool, err error) {
 	search.mutex.Lock()
+	defer search.mutex.Unlock()
 	if query := search.pending[action.Query]; query != nil {
 		query.attemptEvents = append(query.attemptEvents, AttemptEvent{
 			At: search.options.Timer.Now(), Decision: AttemptEnded, Attempt: action.Attempt, Shard: action.Shard,
@@ -503,10 +532,6 @@
 	if query := search.pending[action.Query]; query != nil {
 		delete(query.cancels, action.Attempt)
 	}
-	search.mutex.Unlock()
-	if event.Draining || event.Status == carobthread.ReplyDraining {
-		search.recordDraining(action.Searcher, true)
-	}
 }
 
 // failedStatus returns the status of an attempt that ended without a reply.
--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -9,6 +9,7 @@
 
 	"carobthread"
 	"carobthread/follower"
+	"carobthread/recoverer"
 	"carobthread/timer"
 )
 
@@ -99,7 +100,10 @@
 			continue
 		}
 		started := directory.now()
-		err := directory.read(ctx, listed, started)
+		var err error
+		if panicked := recoverer.Run(&directory.options.Logger, "store-read", func() { err = directory.read(ctx, listed, started) }); panicked != nil {
+			err = panicked
+		}
 		if ctx.Err() != nil {
 			return
 		}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -4,7 +4,10 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"carobthread"
+	"carobthread/recoverer"
 )
 
 // Real is the timer service of a running process; it follows the monotonic clock, so that jumps of the wall clock have no
@@ -13,6 +16,7 @@
 	started time.Time
 	// suspendedBefore is for how long the machine had been suspended at the creation.
 	suspendedBefore time.Duration
+	logger          zerolog.Logger
 }
 
 var (
@@ -23,6 +27,14 @@
 // New returns a timer service that counts from the wall clock time at its creation.
 func New() *Real { return &Real{started: time.Now(), suspendedBefore: suspendedSinceBoot()} }
 
+// SetLogger sets where panics of subscribers are logged; it must be called before the first subscription.
+func (timer *Real) SetLogger(logger zerolog.Logger) { timer.logger = logger }
+
+// tick passes a tick to the subscriber; a panic ends this tick alone.
+func (timer *Real) tick(subscriber carobthread.Subscriber, now carobthread.Instant, late time.Duration) {
+	_ = recoverer.Run(&timer.logger, "tick", func() { subscriber.Tick(now, late) }) // Run logs the panic
+}
+
 // Suspended returns for how long the machine has been suspended since the creation, which Now leaves out.
 func (timer *Real) Suspended() time.Duration {
 	return max(0, suspendedSinceBoot()-timer.suspendedBefore)
@@ -48,7 +60,7 @@
 				return
 			case <-ticker.C:
 				now := timer.Now()
-				subscriber.Tick(now, max(0, now.Sub(due)))
+				timer.tick(subscriber, now, max(0, now.Sub(due)))
 				due = now.Add(period)
 			}
 		}
@@ -109,7 +121,7 @@
 	}
 	alarm.due = 0
 	alarm.mutex.Unlock()
-	alarm.subscriber.Tick(now, now.Sub(due))
+	alarm.timer.tick(alarm.subscriber, now, now.Sub(due))
 }
 
 // Stop cancels the alarm; a tick in progress may still finish after it returns.
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -36,3 +36,28 @@
 	manual.Pause(time.Second)
 	assert.Equal(t, late, 990*time.Millisecond)
 }
+
+// Guards against an unexpected error in one tick that ends the process or the ticks that follow.
+func TestPanicEndsOneTickAlone(t *testing.T) {
+	clock := timer.New()
+	ticks := make(chan struct{})
+	count := 0
+	defer clock.Subscribe(time.Millisecond, carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
+		count++
+		if count == 1 {
+			panic("unexpected")
+		}
+		if count == 2 {
+			close(ticks)
+		}
+	}))()
+	<-ticks
+	rung := make(chan struct{})
+	alarm := clock.Alarm(carobthread.SubscriberFunc(func(carobthread.Instant, time.Duration) {
+		defer close(rung)
+		panic("unexpected")
+	}))
+	alarm.Set(clock.Now())
+	<-rung
+	alarm.Stop()
+}
