Tell a dead shard from a data centre that is cut off

Cause: six bad outcomes in a row marked a data centre as silent, whichever searchers they came from. Late attempts counted too that were sent before a reply showed that the data centre could be reached.

Change: a bad outcome counts only if its attempt was sent after the last reply from the data centre, and the bad outcomes that mark it must come from six searchers, or from all if it has fewer. While a data centre counts as cut off, any further bad outcomes renew its silence, as before.

--- a/gatherer/centre.go
+++ b/gatherer/centre.go
@@ -28,8 +28,8 @@
 	// cutOffSpan is the time within which they must all be late, since a host with few callers seldom sends to other data
 	// centres and would otherwise add up unrelated late attempts.
 	cutOffSpan = time.Second
-	// silentAfterFailures is how many bad outcomes in a row mark a data centre as silent. A single failed searcher reaches
-	// it only if no other searcher of its data centre replies in between.
+	// silentAfterFailures is how many bad outcomes in a row mark a data centre as silent, from as many searchers if it has
+	// them.
 	silentAfterFailures = 6
 	// initialSilence and maxSilence bound how long a data centre is silent; the time doubles whenever it is marked as silent
 	// again without a reply in between.
@@ -39,7 +39,13 @@
 
 // centreRow is this host's view of one data centre.
 type centreRow struct {
-	failures      int
+	// failures counts the bad outcomes in a row of attempts that were sent since repliedAt, the time of the last reply, and
+	// failed holds their searchers.
+	failures  int
+	failed    []*searcherRow
+	repliedAt carobthread.Instant
+	// searchers is the number of known searchers in the data centre.
+	searchers     int
 	silentUntil   carobthread.Instant
 	silencePeriod time.Duration
 }
@@ -52,33 +58,49 @@
 	repliedAt   carobthread.Instant
 }
 
-// reply records a reply from a searcher of the data centre.
-func (centre *centreRow) reply() {
+// reply records a reply from a searcher or a host of the data centre.
+func (centre *centreRow) reply(now carobthread.Instant) {
+	centre.repliedAt = now
 	centre.failures = 0
+	centre.failed = centre.failed[:0]
 	centre.silentUntil = 0
 	centre.silencePeriod = 0
 }
 
-// recordFailure counts an attempt that failed or is very late.
-func (centre *centreRow) recordFailure(now carobthread.Instant) {
+// recordFailure counts an attempt that failed or is very late. A reply that arrived after the attempt was sent shows that the
+// data centre can be reached, however many of its searchers are slow or silent, and a searcher that fails every attempt at
+// once says nothing about the others.
+func (centre *centreRow) recordFailure(now, sentAt carobthread.Instant, searcher *searcherRow) {
+	if sentAt < centre.repliedAt {
+		return
+	}
 	centre.failures++
-	if centre.failures >= silentAfterFailures && now >= centre.silentUntil {
+	if !slices.Contains(centre.failed, searcher) && len(centre.failed) < silentAfterFailures {
+		centre.failed = append(centre.failed, searcher)
+	}
+	if centre.hasFailed(silentAfterFailures) && now >= centre.silentUntil {
 		centre.markSilent(now)
 	}
 }
 
+// hasFailed reports whether there were as many bad outcomes in a row, from as many searchers if the data centre has them.
+// The number of searchers doesn't matter while the data centre counts as cut off, since few queries are sent there then.
+func (centre *centreRow) hasFailed(count int) bool {
+	return centre.failures >= count && (centre.cutOff() || len(centre.failed) >= min(count, centre.searchers))
+}
+
 func (centre *centreRow) markSilent(now carobthread.Instant) {
 	centre.silencePeriod = min(max(initialSilence, 2*centre.silencePeriod), maxSilence)
 	centre.silentUntil = now.Add(centre.silencePeriod)
 }
 
 // suspect reports whether the data centre has half as many bad outcomes in a row as mark it as silent.
-func (centre *centreRow) suspect() bool { return centre.failures >= silentAfterFailures/2 }
+func (centre *centreRow) suspect() bool { return centre.hasFailed(silentAfterFailures / 2) }
 
 // recordReply records that a searcher has replied.
 func (gatherer *Gatherer) recordReply(searcher *searcherRow) {
 	searcher.markReplied(gatherer.now)
-	searcher.centre.reply()
+	searcher.centre.reply(gatherer.now)
 	if !searcher.local {
 		gatherer.remote.repliedAt = gatherer.now
 		gatherer.remote.late = gatherer.remote.late[:0]
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -45,6 +45,9 @@
 	for _, row := range gatherer.searcherList {
 		row.known = false
 	}
+	for _, centre := range gatherer.centres {
+		centre.searchers = 0
+	}
 	for _, searcher := range searchers {
 		row := gatherer.searchers[searcher.Name]
 		if row == nil {
@@ -60,6 +63,7 @@
 		}
 		row.config = searcher
 		row.centre = gatherer.centre(searcher.DataCentre)
+		row.centre.searchers++
 		row.known = true
 		row.local = gatherer.isLocal(row)
 		row.unheld = gatherer.isUnheld(row)
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -118,7 +118,7 @@
 	case event.Peers != nil:
 		gatherer.recordPeerObservations(event.Peers.Observations)
 	case event.Reach != nil:
-		gatherer.centre(event.Reach.DataCentre).reply()
+		gatherer.centre(event.Reach.DataCentre).reply(gatherer.now)
 	case event.Stop != nil:
 		gatherer.beginStop(event.Stop)
 	case event.Tick != nil:
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -259,7 +259,7 @@
 func (gatherer *Gatherer) recordBadOutcome(attempt *attemptRow) {
 	searcher := attempt.replica.searcher
 	if attempt.sentAt >= gatherer.resumedAt {
-		searcher.centre.recordFailure(gatherer.now)
+		searcher.centre.recordFailure(gatherer.now, attempt.sentAt, searcher)
 	}
 	if attempt.sentAt < gatherer.resumedAt || gatherer.now < searcher.ejection.Until() {
 		return
