Name messages that can't be read, and test restarts

Change: the reasons unknown-service and malformed-request.

Tests: one for each reason, which failed before. Replies cut at any byte are checked to end as "may have run".

--- a/caller/http_faults_test.go
+++ b/caller/http_faults_test.go
@@ -181,7 +181,9 @@
 						assert.Assert(t, framing.name == "no-length" || string(reply.HTTP.Body) == "0123456789", "%q", reply.HTTP.Body)
 						continue
 					}
-					assert.Assert(t, err != nil, "a reply cut at byte %d of %d counts as complete", cut, len(framing.reply))
+					var failure *carobthread.RequestError
+					assert.Assert(t, errors.As(err, &failure), "a reply cut at byte %d of %d counts as complete", cut, len(framing.reply))
+					assert.Equal(t, failure.State, carobthread.MayHaveRun, "cut at byte %d", cut)
 				}
 			})
 		}
--- a/errors.go
+++ b/errors.go
@@ -44,6 +44,8 @@
 	ReasonLayoutMissing    Reason = "layout-missing"
 	ReasonHostUnreachable  Reason = "host-unreachable"
 	ReasonConnectionLost   Reason = "connection-lost"
+	// ReasonMalformed is a request or message that can't be read.
+	ReasonMalformed Reason = "malformed-request"
 	// ReasonInternal is an unexpected error of the host.
 	ReasonInternal Reason = "internal-error"
 )
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -131,7 +131,11 @@
 	record.TargetLatency = choice.Route.TargetLatency
 	body, status := readBody(writer, request, routes.Limits().BodyBytes)
 	if status != 0 {
-		forwarder.fail(writer, record, status, carobthread.ReasonTooLarge)
+		reason := carobthread.ReasonMalformed
+		if status == http.StatusRequestEntityTooLarge {
+			reason = carobthread.ReasonTooLarge
+		}
+		forwarder.fail(writer, record, status, reason)
 		return
 	}
 	query := forwarder.query(request, body, &choice, record)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
@@ -67,6 +69,9 @@
 			request.Header.Set(names.RequestID, "r1")
 			request.Header.Set(names.ExpectInstance, "forged")
 			request.Header.Set("X-Kept", "yes")
+			if data.HasArg("broken-body") {
+				request.Body = io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF))
+			}
 			if timeLeft != "" {
 				request.Header.Set(names.TimeLeft, timeLeft)
 			}
--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -14,10 +14,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"carobthread"
+	"carobthread/executor"
 	"carobthread/follower"
 	"carobthread/internal/standin"
 	"carobthread/platform"
@@ -469,3 +471,20 @@
 		}
 	}
 }
+
+// Guards against a message of another host that can't be read, or whose method is unknown, and that is answered with another
+// reason.
+func TestPeerMessagesThatCannotBeReadAreNamed(t *testing.T) {
+	clock := timer.NewManual(carobthread.Instant(time.Hour))
+	directory := startDirectory(t, clock, &deadStore{}, nil)
+	_, err := directory.Handle(t.Context(), "peer", server.MethodStoreExchange, json.RawMessage(`{"gossip":7}`))
+	var failure *carobthread.RequestError
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.Reason, carobthread.ReasonMalformed)
+	execution := server.NewExecution(server.ExecutionOptions{
+		Core: executor.New(executor.Options{Host: "a"}), Timer: clock, Tracer: noop.NewTracerProvider().Tracer("test"),
+	})
+	_, err = execution.Handle(t.Context(), "peer", "none", json.RawMessage(`{}`))
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.Reason, carobthread.ReasonUnknownService)
+}
--- a/server/exchanges.go
+++ b/server/exchanges.go
@@ -169,7 +169,7 @@
 	}
 	var request exchangeMessage
 	if err := json.Unmarshal(params, &request); err != nil {
-		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonUpstreamFailed, Detail: err.Error()}
+		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonMalformed, Detail: err.Error()}
 	}
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
--- a/server/forward.go
+++ b/server/forward.go
@@ -41,7 +41,7 @@
 	case MethodOutcome:
 		return execution.outcome(ctx, &executor.OutcomeCalled{Key: call.Key, Deadline: deadlineOf(call.DeadlineMicros), Forwarded: true}), nil
 	default:
-		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonNotReady, Detail: "unknown method " + method}
+		return nil, &carobthread.RequestError{State: carobthread.NotRun, Reason: carobthread.ReasonUnknownService, Detail: "unknown method " + method}
 	}
 }
 
