Stop a host in the soak while its bookings take long

Change: the fault host-stopped-busy lets bookings take half of the stop limit and stops a host; it must exit with 0 and cut nothing.

--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -72,6 +72,7 @@
 		{"host-killed", (*soak).killHost},
 		{"host-paused", (*soak).pauseHost},
 		{"host-stopped", (*soak).stopHost},
+		{"host-stopped-busy", (*soak).stopBusyHost},
 		{"reload", (*soak).reloadHost},
 		{"configuration", (*soak).changeConfiguration},
 		{"heartbeats-lost", (*soak).loseHeartbeats},
@@ -293,6 +294,24 @@
 	})
 }
 
+// stopBusyHost stops a host while bookings take half of its stop limit; the host must answer each one before it exits.
+func (run *soak) stopBusyHost(_ *rand.Rand, _ time.Duration) {
+	run.withHost(func(entry *process) {
+		for _, searcher := range run.fleet.ledger {
+			searcher.SetServiceTime(longServiceTime)
+		}
+		time.Sleep(longServiceTime / 2)
+		_ = entry.command.Process.Signal(syscall.SIGTERM)
+		<-entry.ended
+		assert.Check(run.t, entry.command.ProcessState.ExitCode() == 0, "%s: %s", entry.name, entry.log)
+		assert.Check(run.t, !strings.Contains(entry.log.String(), "cut short"), "%s: %s", entry.name, entry.log)
+		for _, searcher := range run.fleet.ledger {
+			searcher.SetServiceTime(serviceTime)
+		}
+		run.restart(entry)
+	})
+}
+
 func (run *soak) reloadHost(random *rand.Rand, duration time.Duration) {
 	run.withHost(func(entry *process) {
 		if random.IntN(2) == 0 {
