Keep a connection on which the next request has begun

Cause: net/http reads one byte while a handler runs, to detect that the caller has left. If the next request began to arrive before the previous one was answered, the connection then counted as idle although its first byte had been read, and a planned stop closed it under the request.

Change: a one-byte read marks the connection as carrying the next request; it doesn't become idle at the end of the current one.

--- a/runner/connections.go
+++ b/runner/connections.go
@@ -17,6 +17,9 @@
 	closePollInterval = 20 * time.Millisecond
 	// firstByteTimeout is how long a stopping host waits for the first byte on a new connection.
 	firstByteTimeout = time.Second
+	// backgroundReadBytes is the size of net/http's reads while a handler runs, which detect that a caller has left. They
+	// begin after the body, so that what they return belongs to the next request; other reads are larger.
+	backgroundReadBytes = 1
 	// http2Prefix begins the client preface of HTTP/2 and no HTTP/1.1 request.
 	http2Prefix = "PRI"
 )
@@ -52,7 +55,7 @@
 func (set *connections) track(server *http.Server, listener net.Listener) net.Listener {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if tracked, ok := conn.(*callerConnection); ok && state == http.StateIdle {
-			tracked.state.CompareAndSwap(connectionReceiving, connectionIdle)
+			tracked.endRequest()
 		}
 	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -135,6 +138,15 @@
 	set        *connections
 	acceptedAt carobthread.Instant
 	state      atomic.Int32 // a connectionState
+	// nextBegun is set if the first byte of the next request arrived before the end of the current one.
+	nextBegun atomic.Bool
+}
+
+// endRequest makes the connection idle, unless the next request has begun.
+func (conn *callerConnection) endRequest() {
+	if !conn.nextBegun.Swap(false) {
+		conn.state.CompareAndSwap(connectionReceiving, connectionIdle)
+	}
 }
 
 // Read reads from the connection; the first byte of a request makes the connection busy.
@@ -143,6 +155,9 @@
 	if count == 0 {
 		return count, err
 	}
+	if len(buffer) == backgroundReadBytes {
+		conn.nextBegun.Store(true)
+	}
 	switch conn.state.Load() {
 	case connectionNew:
 		started := connectionReceiving
--- a/runner/connections_test.go
+++ b/runner/connections_test.go
@@ -134,3 +134,30 @@
 	readAnswer(t, holdingReader)
 	<-ended
 }
+
+// Guards against a stop that closes a connection on which the next request began to arrive before the previous one was
+// answered: net/http reads the first byte of it meanwhile.
+func TestDrainAnswersRequestsBegunDuringThePreviousOne(t *testing.T) {
+	for _, sent := range []int{1, 2, len(rawRequest) - 1} {
+		drained := startDrained(t)
+		conn, reader := drained.dial(t)
+		_, err := io.WriteString(conn, strings.Replace(rawRequest, "/book/1", "/hold", 1))
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond) // until the server has read the request
+		_, err = io.WriteString(conn, rawRequest[:sent])
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond) // until the server has read the first byte
+		close(drained.held)
+		readAnswer(t, reader)
+		ended := make(chan struct{})
+		go func() {
+			drained.set.drain(t.Context(), drained.tcp)
+			close(ended)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		_, err = io.WriteString(conn, rawRequest[sent:])
+		assert.NilError(t, err, "after %d bytes", sent)
+		readAnswer(t, reader)
+		<-ended
+	}
+}
