Return searchers whose entries were created again

Cause: after an outage of the store in which leases lapsed, a host that read it early saw the removals of searchers that wrote again a moment later. The reader of the store read after that: for it their entries had never gone, the new ones looked like heartbeats, and heartbeats aren't passed on. The early host let the searchers go at the end of the hold and missed them until they changed in some other way, 29 s in the trace.

Change: an item that was created after the revision that the host knew counts as changed, so it reaches every host that has seen its removal. The store states the revision of creation with each item.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -290,12 +290,15 @@
 	case stored.item.Removed || stored.item.Revision == 0 || registration.StartedMillis != stored.registration.StartedMillis:
 		event = SearcherSeen
 	}
+	recreated := item.Created > stored.item.Revision
 	stored.item = item
 	stored.valid = valid
 	if valid {
 		stored.registration = registration
 	}
-	if differs || stored.removeAt != 0 { // a held removal may have been sent to other hosts
+	// Other hosts may know of a removal that this one held, or that it missed because the item was written again before its
+	// next read.
+	if differs || stored.removeAt != 0 || recreated {
 		stored.changedRevision = item.Revision
 	}
 	stored.removeAt = 0
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
 
 	"carobthread"
 	"carobthread/follower"
@@ -17,8 +18,8 @@
 // TestScripts runs the scripts in testdata on two followers, a and b; each case states the failure that it guards against.
 //
 // Each line of input is an item, "KEY REVISION VALUE". The value is "-" for a tombstone, "vN" for a routing table with that
-// version, "ready" or "draining" for an entry in that state, optionally followed by "sequence=N born=N", and otherwise the
-// raw content.
+// version, "ready" or "draining" for an entry in that state, optionally followed by "sequence=N born=N" or "created=N", and
+// otherwise the raw content.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		run := &script{now: carobthread.Instant(time.Hour)}
@@ -84,6 +85,10 @@
 			data.Fatalf(t, "%v", err)
 		}
 		item := carobthread.StoreItem{Key: fields[0], Revision: revision, Content: []byte(fields[2])}
+		if _, created, found := strings.Cut(fields[2], "created="); found {
+			item.Created, err = strconv.ParseUint(created, 10, 64)
+			assert.NilError(t, err)
+		}
 		version, isTable := strings.CutPrefix(fields[2], "v")
 		switch {
 		case fields[2] == "-":
--- a/forwarding.go
+++ b/forwarding.go
@@ -79,8 +79,10 @@
 type StoreItem struct {
 	Key      string
 	Revision uint64
-	Content  []byte
-	Removed  bool
+	// Created is the revision at which the item came into being, after its last removal, or 0 if not stated.
+	Created uint64 `json:",omitempty"`
+	Content []byte
+	Removed bool
 }
 
 // StoreItems is the result of one call to the store; AsOf is the store's revision at that time, and More is set if there
