Show that a fractional weight keeps a configuration from taking effect

The script moves a route to two services with the weights 0.9 and 0.1; no host takes that version, and bookings go on to the old service for as long as the script looks.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,8 +17,9 @@
 
 func main() {
 	cases := map[string]func(*fleet, bool) (int, error){
-		"copied-rejection": copiedRejection,
-		"large-top-k":      largeTopK,
+		"copied-rejection":   copiedRejection,
+		"large-top-k":        largeTopK,
+		"fractional-weights": fractionalWeights,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE REPOSITORY RECORD")
