Keep a connection from carrying a rejected request again

Cause: a reply is matched to its request by the Request-Id alone, and a retry could get the connection that had carried the rejected attempt. A late second copy of the rejection has the same ID, so it passed for the answer to the retry, which counted as not run once more.

A connection on which a request was answered without a result never carries that request again. The rule stands where both clients get their connections, so it holds for every such answer (503, 429, 421, a searcher's own failure, a success without a signature) and for Run of the searcher API, whose replies name the caller's key. The record is bounded: a connection is closed after 256 such answers.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -89,7 +89,7 @@
 // written, and MayHaveRun otherwise.
 func (caller *Caller) Run(ctx context.Context, searcher carobthread.Searcher, request *carobthreadv1.RunRequest, permit func() error) (*carobthreadv1.RunResponse, error) {
 	endpoint := caller.endpoint(request.GetService(), searcher.Address)
-	conn, err := endpoint.pool.acquire(ctx, true)
+	conn, err := endpoint.pool.acquire(ctx, true, request.GetKey())
 	if err != nil {
 		return nil, newRequestError(carobthread.NotRun, request.GetService(), err)
 	}
@@ -100,7 +100,11 @@
 		err = errors.New("the reply key differs from the request key")
 	}
 	unwritten, cause := gate.close()
-	endpoint.pool.release(conn, err == nil)
+	reusable := err == nil
+	if reusable && response.Msg.GetNotRun() {
+		reusable = conn.recordUnresolved(request.GetKey())
+	}
+	endpoint.pool.release(conn, reusable)
 	switch {
 	case err == nil:
 		return response.Msg, nil
@@ -136,7 +140,7 @@
 }
 
 func callIdempotent[Reply any](ctx context.Context, endpoint *endpoint, service string, call func(ctx context.Context) (*connect.Response[Reply], error)) (*Reply, error) {
-	conn, err := endpoint.pool.acquire(ctx, false)
+	conn, err := endpoint.pool.acquire(ctx, false, "")
 	if err != nil {
 		return nil, newRequestError(carobthread.NotRun, service, err)
 	}
--- a/caller/http.go
+++ b/caller/http.go
@@ -182,12 +182,12 @@
 	}
 }
 
-// acquire returns a connection that its searcher is not about to close. An at-most-once request gets no connection
-// that was idle for longer than maxAtMostOnceIdle, since a searcher may have dropped an idle connection silently. A
+// acquire returns a connection that its searcher is not about to close and that has carried no earlier attempt of the
+// request which ended without a result. An at-most-once request gets no connection that was idle for longer than maxAtMostOnceIdle, since a searcher may have dropped an idle connection silently. A
 // request without an ID gets a new connection, since its reply can't be told from a second copy of an earlier one.
 func (caller *HTTPCaller) acquire(ctx context.Context, pool *pool, id string, atMostOnce bool) (*connection, error) {
 	for {
-		conn, err := pool.acquire(ctx, true)
+		conn, err := pool.acquire(ctx, true, id)
 		if err != nil {
 			return nil, err
 		}
@@ -224,11 +224,17 @@
 	}
 	conn.expiresAt = caller.keepAliveExpiry(response.Header)
 	conn.lastUsedAt = caller.options.Timer.Now()
-	return caller.classifyReply(request, response, body), !response.Close && request.Request.ID != "", nil
+	reply = caller.classifyReply(request, response, body)
+	reusable = !response.Close && request.Request.ID != ""
+	if reply.Status != carobthread.ReplyOK {
+		reusable = conn.recordUnresolved(request.Request.ID) && reusable
+	}
+	return reply, reusable, nil
 }
 
 // checkEcho returns an error unless the reply belongs to the request with the ID. A connection that has been used may carry
-// a late second copy of an earlier reply, so only a reply on a new connection may lack the ID.
+// a late second copy of an earlier reply, so only a reply on a new connection may lack the ID. A copy of the reply to an
+// earlier attempt of the same request has its ID; such attempts never share a connection (see connection.recordUnresolved).
 func checkEcho(echoed, id string, used bool) error {
 	switch {
 	case echoed == "" && used:
--- a/caller/pool.go
+++ b/caller/pool.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"carobthread"
 )
 
@@ -23,6 +25,28 @@
 	// lastUsedAt is the end of the last exchange, or 0 for a new connection.
 	// Only the request that holds the connection accesses it.
 	lastUsedAt carobthread.Instant
+	// unresolved holds the hashes of the requests that were answered without a result and may therefore be sent again.
+	// Only the request that holds the connection adds to it.
+	unresolved []uint64
+}
+
+// maxUnresolved is the number of requests answered without a result after which a connection is closed.
+const maxUnresolved = 256
+
+// recordUnresolved records that the request was answered without a result and reports whether the connection may be used
+// again. The searcher may send a second copy of that answer at any later time, and the request's ID doesn't tell the copy
+// from the answer to another send of the same request. So that send needs another connection.
+func (conn *connection) recordUnresolved(requestID string) (reusable bool) {
+	if conn.http2 {
+		return true // the stream tells the replies apart
+	}
+	conn.unresolved = append(conn.unresolved, xxhash.Sum64String(requestID))
+	return len(conn.unresolved) < maxUnresolved
+}
+
+// mayCarry reports whether no earlier answer on the connection can be taken for the answer to the request.
+func (conn *connection) mayCarry(requestID string) bool {
+	return len(conn.unresolved) == 0 || !slices.Contains(conn.unresolved, xxhash.Sum64String(requestID))
 }
 
 func (conn *connection) close() { _ = conn.client.Close() } // the connection is discarded even if closing it fails
@@ -101,9 +125,9 @@
 	}
 }
 
-// acquire returns a pooled connection, dials a new one below the limit, or waits for one.
+// acquire returns a pooled connection that may carry the request, dials a new one below the limit, or waits for one.
 // An exclusive connection carries no other request until it is released.
-func (pool *pool) acquire(ctx context.Context, exclusive bool) (*connection, error) {
+func (pool *pool) acquire(ctx context.Context, exclusive bool, requestID string) (*connection, error) {
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, err
@@ -113,7 +137,7 @@
 			pool.mutex.Unlock()
 			return nil, err
 		}
-		conn, dial := pool.pickLocked(exclusive)
+		conn, dial := pool.pickLocked(exclusive, requestID)
 		changed := pool.changed
 		pool.mutex.Unlock()
 		if dial {
@@ -147,16 +171,18 @@
 	return nil
 }
 
-// pickLocked prefers an idle connection, then a new one, then the least loaded one that can be shared.
+// pickLocked prefers an idle connection, then a new one, then the least loaded one that can be shared. At the limit, it closes
+// an idle connection that may not carry the request to make room for a new one.
 // The second result tells the caller to dial a new connection.
-func (pool *pool) pickLocked(exclusive bool) (*connection, bool) {
+func (pool *pool) pickLocked(exclusive bool, requestID string) (*connection, bool) {
 	pool.conns = slices.DeleteFunc(pool.conns, (*connection).unusable)
-	var best *connection
+	var best, unsuitable *connection
 	for _, conn := range pool.conns {
-		if conn.exclusive || conn.http2 && conn.client.Available() == 0 || conn.inFlight > 0 && (exclusive || !pool.multiplexed) {
-			continue
-		}
-		if best == nil || conn.inFlight < best.inFlight {
+		switch {
+		case conn.exclusive || conn.http2 && conn.client.Available() == 0 || conn.inFlight > 0 && (exclusive || !pool.multiplexed):
+		case !conn.mayCarry(requestID):
+			unsuitable = conn
+		case best == nil || conn.inFlight < best.inFlight:
 			best = conn
 		}
 	}
@@ -166,6 +192,11 @@
 		best.exclusive = exclusive
 		return best, false
 	}
+	if !belowLimit && unsuitable != nil {
+		pool.conns = slices.DeleteFunc(pool.conns, func(conn *connection) bool { return conn == unsuitable })
+		unsuitable.close()
+		belowLimit = len(pool.conns)+pool.dialling < pool.limit
+	}
 	if belowLimit {
 		pool.dialling++
 	}
