Reserve memory for the records of an answer, not for topK

Cause: topRecords reserved 16 bytes for each record that the route allows, 64 GiB here, before it counted the records that were there. A failed allocation ends the process, so recovery can't hold it.

The capacity now follows the records that there are. Every other allocation whose size a configuration or a message states was read: they count things that are there or are bounded.

forwarder/testdata/answers, "runs out of memory", ended the test binary before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -292,8 +292,8 @@
 // recordSize is the length of a record in a reply, in bytes.
 const recordSize = 16
 
-// topRecords returns the greatest records of all bodies in descending order of their bytes, ignoring a trailing partial
-// record of each body.
+// topRecords returns the greatest records of all bodies in descending order of their bytes, at most count of them, ignoring a
+// trailing partial record of each body. It uses memory for the records that are there, however great count is.
 func topRecords(bodies [][]byte, count int) []byte {
 	var records [][recordSize]byte
 	for _, body := range bodies {
@@ -302,8 +302,9 @@
 		}
 	}
 	slices.SortFunc(records, func(left, right [recordSize]byte) int { return slices.Compare(right[:], left[:]) })
-	merged := make([]byte, 0, count*recordSize)
-	for _, record := range records[:min(count, len(records))] {
+	records = records[:min(max(0, count), len(records))]
+	merged := make([]byte, 0, len(records)*recordSize)
+	for _, record := range records {
 		merged = append(merged, record[:]...)
 	}
 	return merged
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -96,6 +97,7 @@
 		Routes: []carobthread.Route{
 			{Name: "book", Host: "a.example", Prefix: "/book/", Timeout: 4 * time.Second, Backends: []carobthread.Backend{{Group: "ledger", Weight: 1}}},
 			{Name: "search", Host: "a.example", Prefix: "/search/", Timeout: time.Second, Shards: []string{"one", "two"}, TopK: 2},
+			{Name: "all", Host: "a.example", Prefix: "/all/", Timeout: time.Second, Shards: []string{"one", "two"}, TopK: math.MaxUint32},
 		},
 	}
 }
