Let a version take effect whatever form its numbers have

Cause: weights were decoded into integers. One number with a fraction made the decoding of the whole table fail, and a table that can't be decoded leaves the old one in force.

Weights and priorities keep their fractions. The same cause in a caller's Deadline-Ms: with a fraction it counted as none, and above 292 years as passed.

--- a/config.go
+++ b/config.go
@@ -45,7 +45,7 @@
 	// cap.
 	HedgeDelay time.Duration `json:"hedge-delay,omitempty"`
 	// Priority orders services whose attempts wait for the same slots; 0 is the highest.
-	Priority int `json:"rank,omitempty"`
+	Priority float64 `json:"rank,omitempty"`
 	// AtMostOnce is set if a request may run at most once: no attempt follows one that may have run.
 	AtMostOnce bool `json:"once,omitempty"`
 	// FloorRequired makes an answer below the coverage floor a failure, returned as soon as the floor cannot be reached.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -190,13 +190,28 @@
 	}
 	record.AtMostOnce = query.AtMostOnce
 	record.TimeLeft = choice.Route.Timeout
-	if millis, err := strconv.ParseInt(request.Header.Get(names.TimeLeft), 10, 64); err == nil && millis >= 0 {
-		record.TimeLeft = min(record.TimeLeft, responseTimeout(time.Duration(millis)*time.Millisecond))
+	if stated, valid := parseMillis(request.Header.Get(names.TimeLeft)); valid {
+		record.TimeLeft = min(record.TimeLeft, responseTimeout(stated))
 	}
 	query.Deadline = record.Arrived.Add(record.TimeLeft)
 	return query
 }
 
+// maxStatedMillis is a day in milliseconds; routes have shorter timeouts.
+const maxStatedMillis = 86_400_000
+
+// parseMillis parses a number of milliseconds, with or without a fraction, and returns at most a day.
+func parseMillis(text string) (stated time.Duration, valid bool) {
+	millis, err := strconv.ParseFloat(text, 64)
+	if errors.Is(err, strconv.ErrRange) {
+		err = nil // the result is infinite
+	}
+	if err != nil || !(millis >= 0) {
+		return 0, false
+	}
+	return time.Duration(min(millis, maxStatedMillis) * float64(time.Millisecond)), true
+}
+
 // responseTimeout returns the time within which the response must be sent, given the time that the caller waits.
 func responseTimeout(callerTimeout time.Duration) time.Duration {
 	return callerTimeout - min(responseMargin, time.Duration(maxResponseMarginRatio*float64(callerTimeout)))
--- a/forwarding.go
+++ b/forwarding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -11,8 +12,28 @@
 	Routes  []Route
 	Groups  []ReplicaGroup
 	Limits  ClientLimits
+	// Ignored lists fields that are missing or could not be decoded; the rest of the table applies.
+	Ignored []FieldError
 }
 
+// FieldError is a field of a routing table that could not be used.
+type FieldError struct {
+	// Object names the route with the field, or the whole table.
+	Object string
+	Field  string
+	Cause  error
+}
+
+var _ error = (*FieldError)(nil)
+
+// Error formats the failure with its field.
+func (failure *FieldError) Error() string {
+	return fmt.Sprintf("%s: field %s ignored: %v", failure.Object, failure.Field, failure.Cause)
+}
+
+// Unwrap returns the cause.
+func (failure *FieldError) Unwrap() error { return failure.Cause }
+
 // Route selects requests by host and path prefix and states how they are served; exactly one of Backends and Shards is set.
 type Route struct {
 	Name   string
@@ -24,8 +45,8 @@
 	Timeout time.Duration
 	// TargetLatency is the latency within which an answer has the most value for the caller.
 	TargetLatency time.Duration
-	// Priority orders routes whose attempts wait for the same slots; 0 is the highest.
-	Priority int
+	// Priority orders routes whose attempts wait for the same slots; 0 is the highest, and fractions rank between.
+	Priority float64
 	// MaxSearchers bounds the number of searchers that a request is sent to, for each shard.
 	MaxSearchers int
 	Backends     []Backend
@@ -40,7 +61,7 @@
 // Backend is a replica group that receives a share of a route's requests in proportion to its weight.
 type Backend struct {
 	Group  string
-	Weight int
+	Weight float64
 }
 
 // ReplicaGroup is a set of interchangeable searchers.
@@ -132,7 +153,8 @@
 
 // ItemDecoder decodes items of the store into types of this package.
 type ItemDecoder interface {
-	// Table decodes a routing table; isTable is false if the item is not a routing table.
+	// Table decodes a routing table; isTable is false if the item is not a routing table. A field that can't be decoded is
+	// listed in the table and is not an error.
 	Table(item StoreItem) (table RoutingTable, isTable bool, err error)
 	// Registration decodes a searcher's registration; isRegistration is false if the item is not a registration.
 	Registration(item StoreItem) (registration Registration, isRegistration bool, err error)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -58,7 +58,7 @@
 	for i := range config.Services {
 		service := &config.Services[i]
 		layout, _ := config.Layout(service.Name, service.Layout)
-		fmt.Fprintf(&output, "service %s: soft deadline %s, hard deadline %s, floor %g, searchers %d, rank %d, once %v, layout %d groups %v shards %v\n",
+		fmt.Fprintf(&output, "service %s: soft deadline %s, hard deadline %s, floor %g, searchers %d, rank %v, once %v, layout %d groups %v shards %v\n",
 			service.Name, service.SoftDeadline, service.HardDeadline, service.CoverageFloor, service.MaxSearchers, service.Priority, service.AtMostOnce,
 			layout.Generation, layout.Groups, layout.Shards)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -21,8 +21,29 @@
 type weightedRoute struct {
 	route carobthread.Route
 	mutex sync.Mutex
-	// currentWeights holds the current weight of each backend; the backend with the greatest is selected.
-	currentWeights []int
+	// weights holds the weight of each backend and currentWeights its current weight; the backend with the greatest current
+	// weight is selected.
+	weights, currentWeights []float64
+}
+
+// maxExactWeight bounds the sum of a route's weights. Above it, sums of floating-point numbers lose whole units.
+const maxExactWeight = 1 << 53
+
+// newWeightedRoute returns a route whose weights are scaled down if their sum could not be computed exactly.
+func newWeightedRoute(route carobthread.Route) *weightedRoute {
+	count := len(route.Backends)
+	weighted := &weightedRoute{route: route, weights: make([]float64, count), currentWeights: make([]float64, count)}
+	greatest := 0.0
+	for i, backend := range route.Backends {
+		weighted.weights[i] = max(0, backend.Weight)
+		greatest = max(greatest, backend.Weight)
+	}
+	if greatest > maxExactWeight/float64(max(1, count)) {
+		for i := range weighted.weights {
+			weighted.weights[i] /= greatest
+		}
+	}
+	return weighted
 }
 
 // Choice is the route and the replica group selected for a request; Group is empty for a route over shards.
@@ -36,8 +57,7 @@
 	router := &Router{version: table.Version, limits: table.Limits, routesByHost: map[string][]*weightedRoute{}}
 	for _, route := range table.Routes {
 		host := strings.ToLower(route.Host)
-		weighted := &weightedRoute{route: route, currentWeights: make([]int, len(route.Backends))}
-		router.routesByHost[host] = append(router.routesByHost[host], weighted)
+		router.routesByHost[host] = append(router.routesByHost[host], newWeightedRoute(route))
 	}
 	for _, routes := range router.routesByHost {
 		slices.SortStableFunc(routes, func(left, right *weightedRoute) int {
@@ -85,10 +105,10 @@
 	}
 	weighted.mutex.Lock()
 	defer weighted.mutex.Unlock()
-	total, best := 0, 0
-	for i := range backends {
-		weighted.currentWeights[i] += backends[i].Weight
-		total += backends[i].Weight
+	total, best := 0.0, 0
+	for i, weight := range weighted.weights {
+		weighted.currentWeights[i] += weight
+		total += weight
 		if weighted.currentWeights[i] > weighted.currentWeights[best] {
 			best = i
 		}
--- a/server/directory.go
+++ b/server/directory.go
@@ -201,12 +201,23 @@
 			Int("routes", len(table.Routes)).Str("source", directory.options.Follower.TableSource()).
 			Uint64("revision", directory.options.Follower.Digest().AsOf).Int64("knowledge-age-us", directory.now().Sub(directory.syncedAt).Microseconds()).
 			Msg("routing table active")
+		directory.logIgnoredFields(now, &table)
 	}
 	if table.Version != 0 && (change.Table || change.Searchers) {
 		directory.options.OnChange(table, directory.options.Follower.Registrations())
 	}
 }
 
+// logIgnoredFields logs the fields without which the routing table takes effect.
+func (directory *Directory) logIgnoredFields(now carobthread.Instant, table *carobthread.RoutingTable) {
+	for i := range table.Ignored {
+		if directory.limiter.Allow(now, "field-ignored") {
+			directory.options.Logger.Warn().Err(&table.Ignored[i]).Str("event", "field-ignored").Uint64("version", table.Version).
+				Msg("field of the routing table ignored")
+		}
+	}
+}
+
 // logStaleness logs when the copy of the store becomes older than Timing.MaxAge, and when it is younger again.
 func (directory *Directory) logStaleness() {
 	directory.mutex.Lock()
