Accept fractions in the settings of memory and processors

A process with memory = 414.5MB or processors = 1.5 in its settings did not start, and a changed file with such a value did not take effect. Sizes accept fractions and processors are rounded down.

A size far too large for 64 bits is now reported as out of range rather than as no size.

--- a/parser/field.go
+++ b/parser/field.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// roundedDown accepts a decimal number for a value that is applied as a whole one.
+func roundedDown(target *int, minValue, maxValue int) converter {
+	return func(value *ini.Key) error {
+		number, err := parseDecimal(value.Value())
+		if err != nil {
+			return fmt.Errorf("%q is not a number", value.Value())
+		}
+		if number < float64(minValue) || number > float64(maxValue) {
+			return fmt.Errorf("%s is out of range, allowed are %d to %d", value.Value(), minValue, maxValue)
+		}
+		*target = int(number)
+		return nil
+	}
+}
+
+// parseDecimal parses a number without a sign, with or without a fraction.
+func parseDecimal(text string) (float64, error) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseFloat(text, 64)
+}
+
 // sizeUnits returns the units of sizes, longest suffix first because every suffix ends in B.
 func sizeUnits() []struct {
 	suffix string
@@ -182,14 +205,15 @@
 			if !found {
 				continue
 			}
-			number, err := strconv.ParseUint(strings.TrimSpace(digits), 10, 64)
+			number, err := parseDecimal(strings.TrimSpace(digits))
 			if err != nil {
 				break
 			}
-			if number > uint64(maxValue/unit.factor) || int(number)*unit.factor < minValue {
+			bytes := number * float64(unit.factor)
+			if bytes > float64(maxValue) || bytes < float64(minValue) {
 				return fmt.Errorf("%s is out of range, allowed are %s to %s", value.Value(), formatSize(minValue), formatSize(maxValue))
 			}
-			*target = int(number) * unit.factor
+			*target = int(bytes)
 			return nil
 		}
 		return fmt.Errorf("%q is not a size in B, KB or MB, such as 64KB", value.Value())
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -103,7 +103,7 @@
 			optional("retry-window", duration(&forward.RetryWindow, 100*time.Millisecond, 10*time.Minute)),
 		},
 		"runtime": {
-			optional("processors", integer(&runtime.Processors, 1, maxProcessors)),
+			optional("processors", roundedDown(&runtime.Processors, 1, maxProcessors)),
 			optional("memory", size(&runtime.Memory, minMemory, maxMemory)),
 		},
 		"peers": {optional("addresses", seedPeers(&settings.Peers.Addresses))},
--- a/settings.go
+++ b/settings.go
@@ -61,7 +61,8 @@
 
 // RuntimeSettings is section [runtime], which is optional.
 type RuntimeSettings struct {
-	// Processors is the key processors, the value of GOMAXPROCS, default that of the Go runtime, 1 to 1024.
+	// Processors is the key processors, the value of GOMAXPROCS, rounded down, default that of the Go runtime, 1
+	// to 1024.
 	Processors int
 	// Memory is the key memory, the memory limit of the process in bytes, which it must not reach, default none, 16MB to
 	// 1048576MB.
