Keep the layouts of routes that a change does not touch

Cause: each change of a searcher rebuilt the state of all routes under the lock of the query path. configureService went through all layouts for each service and inUse through all services for each retired layout; each layout was resolved anew; each idle route held a histogram of 70 KB; the router was rebuilt as well.

Layouts are indexed by service, those in use are marked, unchanged ones keep their rows, histograms come with the first latency, and the router is built once for each version, which also keeps its weighted shares going.

--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -83,10 +83,19 @@
 func (gatherer *Gatherer) configureServices(config *carobthread.Config) {
 	for _, row := range gatherer.serviceList {
 		row.known = false
+		for _, layout := range row.layouts {
+			layout.configured = false
+		}
 		gatherer.retiredLayouts = append(gatherer.retiredLayouts, row.layouts...)
 	}
+	layouts := map[string][]*carobthread.Layout{}
+	for i := range config.Layouts {
+		layout := &config.Layouts[i]
+		layouts[layout.Service] = append(layouts[layout.Service], layout)
+	}
 	for i := range config.Services {
-		gatherer.configureService(&config.Services[i], config)
+		service := &config.Services[i]
+		gatherer.configureService(service, layouts[service.Name])
 	}
 	for _, row := range gatherer.serviceList {
 		if !row.known {
@@ -94,11 +103,11 @@
 		}
 	}
 	gatherer.retiredLayouts = slices.DeleteFunc(gatherer.retiredLayouts, func(layout *layoutRow) bool {
-		return layout.refCount == 0 || gatherer.inUse(layout)
+		return layout.refCount == 0 || layout.configured
 	})
 }
 
-func (gatherer *Gatherer) configureService(service *carobthread.Service, config *carobthread.Config) {
+func (gatherer *Gatherer) configureService(service *carobthread.Service, layouts []*carobthread.Layout) {
 	row := gatherer.services[service.Name]
 	if row == nil {
 		row = &serviceRow{}
@@ -109,25 +118,61 @@
 	row.known = true
 	row.admission.Resize(service.MaxInFlight)
 	row.latency.configure(service.HedgeQuantile)
-	previous := row.layouts
-	replicas := row.replicas
-	row.layouts = nil
-	row.replicas = map[string]*replicaRow{}
+	if !gatherer.layoutsUnchanged(row, layouts) {
+		gatherer.resolveLayouts(row, layouts)
+	}
 	fanOut := 0
-	for i := range config.Layouts {
-		if config.Layouts[i].Service != service.Name {
-			continue
+	for _, layout := range row.layouts {
+		layout.configured = true
+		fanOut = max(fanOut, len(layout.shards))
+	}
+	row.budget.Configure(extraAttemptRatio(service.ExtraAttemptRatio), max(minBurst, burstQueries*fanOut))
+}
+
+// layoutsUnchanged reports whether the service's layouts are the given ones. Most services keep theirs when a searcher
+// changes, and with thousands of routes, building all of them anew takes the time and memory that queries need.
+func (gatherer *Gatherer) layoutsUnchanged(service *serviceRow, layouts []*carobthread.Layout) bool {
+	return slices.EqualFunc(service.layouts, layouts, func(row *layoutRow, layout *carobthread.Layout) bool {
+		return row.generation == layout.Generation && row.grouped == (gatherer.retryBudget.Window > 0) &&
+			slices.Equal(row.groups, layout.Groups) && row.hasReplicas(layout.Shards)
+	})
+}
+
+// hasReplicas reports whether the shards have the replicas with the given names, all of them configured. A searcher that is
+// not configured is left out of a layout, so it makes the result false.
+func (layout *layoutRow) hasReplicas(shards [][]string) bool {
+	if len(layout.shards) != len(shards) {
+		return false
+	}
+	for shard, names := range shards {
+		replicas := layout.shards[shard].replicas
+		if len(replicas) != len(names) {
+			return false
+		}
+		for i, name := range names {
+			searcher := replicas[i].row.searcher
+			if !searcher.known || searcher.config.Name != name {
+				return false
+			}
 		}
-		layout := gatherer.resolve(row, replicas, &config.Layouts[i])
+	}
+	return true
+}
+
+// resolveLayouts replaces the service's layouts and keeps the rows of replicas and layouts that it had before.
+func (gatherer *Gatherer) resolveLayouts(service *serviceRow, layouts []*carobthread.Layout) {
+	previous, replicas := service.layouts, service.replicas
+	service.layouts = nil
+	service.replicas = map[string]*replicaRow{}
+	for _, layout := range layouts {
+		resolved := gatherer.resolve(service, replicas, layout)
 		for _, old := range previous {
-			if old.equal(layout) {
-				layout = old
+			if old.equal(resolved) {
+				resolved = old
 			}
 		}
-		row.layouts = append(row.layouts, layout)
-		fanOut = max(fanOut, len(layout.shards))
+		service.layouts = append(service.layouts, resolved)
 	}
-	row.budget.Configure(extraAttemptRatio(service.ExtraAttemptRatio), max(minBurst, burstQueries*fanOut))
 }
 
 // extraAttemptRatio returns the configured ratio capped at maxExtraAttemptRatio; 0 selects the maximum and a negative ratio
@@ -141,7 +186,10 @@
 
 // resolve resolves the names of a layout to table rows; a searcher that is not configured is left out.
 func (gatherer *Gatherer) resolve(service *serviceRow, previous map[string]*replicaRow, layout *carobthread.Layout) *layoutRow {
-	row := &layoutRow{generation: layout.Generation, shards: make([]shardRow, len(layout.Shards))}
+	row := &layoutRow{
+		generation: layout.Generation, shards: make([]shardRow, len(layout.Shards)),
+		groups: layout.Groups, grouped: gatherer.retryBudget.Window > 0,
+	}
 	for shard, names := range layout.Shards {
 		if shard < len(layout.Groups) && gatherer.retryBudget.Window > 0 {
 			row.shards[shard].group = gatherer.group(layout.Groups[shard])
@@ -172,16 +220,6 @@
 	})
 }
 
-// inUse reports whether a configured service has the layout.
-func (gatherer *Gatherer) inUse(layout *layoutRow) bool {
-	for _, service := range gatherer.serviceList {
-		if service.known && slices.Contains(service.layouts, layout) {
-			return true
-		}
-	}
-	return false
-}
-
 // linkShards records for each searcher the shards that it serves, in the order of their services' priorities. It includes
 // layouts that only queries in progress still use.
 func (gatherer *Gatherer) linkShards() {
--- a/gatherer/latency.go
+++ b/gatherer/latency.go
@@ -29,6 +29,7 @@
 //
 // The quantiles are cached, since computing one scans the whole histogram.
 type latencyWindow struct {
+	// histogram is nil before the first latency: it takes tens of kilobytes, and most of a great many services are idle.
 	histogram        *hdrhistogram.WindowedHistogram
 	quantile         float64
 	currentSamples   int
@@ -46,13 +47,13 @@
 		quantile = defaultHedgeQuantile
 	}
 	window.quantile = quantile
-	if window.histogram == nil {
-		window.histogram = hdrhistogram.NewWindowed(windowCount, 1, maxLatency.Microseconds(), 2)
-	}
 }
 
 // record adds a latency.
 func (window *latencyWindow) record(now carobthread.Instant, latency time.Duration) {
+	if window.histogram == nil {
+		window.histogram = hdrhistogram.NewWindowed(windowCount, 1, maxLatency.Microseconds(), 2)
+	}
 	micros := min(max(1, latency.Microseconds()), maxLatency.Microseconds())
 	if window.histogram.Current.RecordValue(micros) != nil {
 		return
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -208,6 +208,11 @@
 type layoutRow struct {
 	generation uint32
 	shards     []shardRow
+	// groups holds the names of the shards' replica groups; grouped is set if the shards refer to them.
+	groups  []string
+	grouped bool
+	// configured is set while the configuration has the layout.
+	configured bool
 	// refCount counts the candidates of queries in progress that refer to the layout.
 	refCount int
 }
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -77,10 +77,12 @@
 	directory      *server.Directory
 	forwarder      *forwarder.Forwarder
 	listeners      forwardingListeners
-	ready          atomic.Bool
-	stopping       atomic.Bool
-	connections    *connections
-	closers        []func()
+	// routedVersion is the version of the routing table that the forwarder routes by; only configure accesses it.
+	routedVersion uint64
+	ready         atomic.Bool
+	stopping      atomic.Bool
+	connections   *connections
+	closers       []func()
 }
 
 type forwardingListeners struct {
@@ -244,7 +246,10 @@
 	host.search.Configure(planner.Plan(&table, registrations, carobthread.RetryBudget{
 		Ratio: forward.RetryRatio, Slack: forward.RetrySlack, Window: forward.RetryWindow,
 	}))
-	host.forwarder.SetRouter(router.New(&table))
+	if table.Version != host.routedVersion {
+		host.forwarder.SetRouter(router.New(&table)) // its weighted shares go on while searchers change
+		host.routedVersion = table.Version
+	}
 	if !host.ready.Swap(true) {
 		host.logger.Info().Str("event", "ready").Uint64("version", table.Version).Int("searchers", len(registrations)).Msg("ready")
 	}
