Count a searcher as reached when a later send to it fails

Cause: revertUnsentAttempt cleared the mark of the replica whenever an attempt reached no searcher, also where an earlier attempt of the query had reached the same one and had been rejected. The next retry then counted one searcher too few and could go to another.

An attempt now knows whether it was the first to its replica, and only that one takes the mark back.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -49,6 +49,7 @@
 	service := query.service
 	replica := query.current.layout.shards[shard].replicas[index].row
 	inputs := gatherer.inputs(replica, class)
+	state := &query.current.shards[shard]
 	gatherer.nextAttempt++
 	attempt := gatherer.newAttempt()
 	*attempt = attemptRow{
@@ -60,12 +61,13 @@
 		sentAt:   gatherer.now,
 		kind:     kind,
 		unpinned: !query.current.pinned,
+
+		reachesNew: state.reached&replicaBit(index) == 0,
 	}
 	gatherer.attempts[attempt.id] = attempt
 	replica.inFlight++
 	replica.searcher.limit.Start()
 	replica.searcher.rate.Take(gatherer.now)
-	state := &query.current.shards[shard]
 	state.inFlightAttempts[state.inFlightCount] = attempt
 	state.inFlightCount++
 	state.sent++
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -181,7 +181,9 @@
 // revertUnsentAttempt reverts the accounting of an attempt that reached no searcher.
 func (gatherer *Gatherer) revertUnsentAttempt(attempt *attemptRow, state *shardState) {
 	state.sent--
-	state.reached &^= replicaBit(attempt.index)
+	if attempt.reachesNew {
+		state.reached &^= replicaBit(attempt.index)
+	}
 	first, grouped := attempt.kind == carobthread.AttemptFirst, attempt.query.group(attempt.shard) != nil
 	if grouped && !first {
 		gatherer.refund(attempt.query, attempt.shard)
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -111,6 +111,8 @@
 	kind    carobthread.AttemptKind
 	// unpinned is set if the attempt asked for the searcher's newest snapshot.
 	unpinned bool
+	// reachesNew is set if no earlier attempt of the query was sent to the replica.
+	reachesNew bool
 }
 
 // searcherRow is what this host knows about one searcher; it is kept after the searcher leaves the configuration while
