Stop reading replies without end at their limit on both clients

Operators report a searcher that sent bytes without end until its caller ran out of memory. On the forwarding path this can't happen: heads, bodies and all large bodies together have limits. On the searcher API nothing was kept either, but connect reads a body over its limit up to the end, so that an attempt received bytes until its deadline: 7 GB allocated by 100 attempts in 5 s.

Replies of the searcher API end at twice their limit.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -25,6 +25,8 @@
 	maxHeaderBytes = 64 << 10
 	pingIdleTime   = 5 * time.Second // detects HTTP/2 connections that a network partition left open
 	pingTimeout    = 2 * time.Second
+	// encodingFactor bounds the bytes of a reply's body as it is sent, relative to its content; chunks add less.
+	encodingFactor = 2
 )
 
 // Defaults for zero fields of Options.
@@ -196,7 +198,7 @@
 	}
 	created := &endpoint{pool: newPool(address, count, caller.options)}
 	created.pool.closed = caller.closed
-	created.client = carobthreadv1connect.NewSearcherServiceClient(sender{}, "http://"+address,
+	created.client = carobthreadv1connect.NewSearcherServiceClient(sender{maxBodySize: encodingFactor * int64(caller.options.MaxReplySize)}, "http://"+address,
 		connect.WithReadMaxBytes(caller.options.MaxReplySize),
 		connect.WithAcceptCompression("gzip", nil, nil),
 	)
@@ -213,12 +215,15 @@
 }
 
 // sender sends each request once, on the connection of the binding in its context.
-type sender struct{}
+type sender struct {
+	// maxBodySize limits the bytes of a reply's body. connect limits what it keeps, but reads the rest up to its end.
+	maxBodySize int64
+}
 
 var _ connect.HTTPClient = sender{}
 
 // Do implements connect.HTTPClient. It follows no redirects, does not retry and keeps no cookies.
-func (sender) Do(request *http.Request) (*http.Response, error) {
+func (sender sender) Do(request *http.Request) (*http.Response, error) {
 	binding := request.Context().Value(bindingKey{}).(*binding)
 	if binding.gate != nil {
 		var err error
@@ -231,6 +236,9 @@
 		_ = response.Body.Close()
 		return nil, errors.New("the reply has neither a length nor chunked encoding; truncation could not be detected")
 	}
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, sender.maxBodySize)
+	}
 	return response, err
 }
 
--- a/caller/http.go
+++ b/caller/http.go
@@ -29,7 +29,9 @@
 	maxDialTimeout = 500 * time.Millisecond
 	// maxRetryAfter bounds the time for which a searcher can refuse all requests of this host.
 	maxRetryAfter = time.Hour
-	// replyBlock is the number of bytes of a reply that are read at a time.
+	// firstReplyBlock is the size of the buffer that a reply is read into first, in bytes; most replies fit.
+	firstReplyBlock = 4 << 10
+	// replyBlock is the size in bytes above which a reply counts as large.
 	replyBlock = 64 << 10
 	// defaultMaxLargeReplyBytes is a small part of the memory of the smallest hosts, about 400 MB.
 	defaultMaxLargeReplyBytes = 64 << 20
@@ -214,7 +216,7 @@
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read, or its connection is discarded
-	body, err := caller.readBody(response.Body)
+	body, err := caller.readBody(response.Body, response.ContentLength)
 	if err != nil {
 		return nil, false, fmt.Errorf("read reply: %w", err)
 	}
@@ -245,27 +247,42 @@
 	return nil
 }
 
-// readBody reads a reply's body up to its end. The blocks after the first one count against MaxLargeReplyBytes, so that many
-// searchers that send without end can't fill the memory together.
-func (caller *HTTPCaller) readBody(source io.Reader) ([]byte, error) {
-	var body []byte
-	reserved := int64(0)
-	defer func() { caller.largeReplyBytes.Add(-reserved) }()
+// readBody reads a reply's body up to its end; length is its stated length in bytes, or -1. The buffer grows with the bytes
+// that arrive, and above replyBlock its size counts against MaxLargeReplyBytes, so that many searchers that send without end
+// can't fill the memory together.
+func (caller *HTTPCaller) readBody(source io.Reader, length int64) ([]byte, error) {
+	limit := caller.options.MaxReplySize + 1 // one byte more shows that a body is too large
+	if length >= int64(limit) {
+		return nil, fmt.Errorf("the reply is larger than %d bytes", caller.options.MaxReplySize)
+	}
+	if length >= 0 {
+		limit = int(length) + 1
+	}
+	reserved := 0
+	defer func() { caller.largeReplyBytes.Add(-int64(reserved)) }()
+	body := make([]byte, 0, min(limit, firstReplyBlock))
 	for {
-		block, err := io.ReadAll(io.LimitReader(source, replyBlock))
-		body = append(body, block...)
+		count, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
 		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
 		case err != nil:
 			return nil, err
-		case len(body) > caller.options.MaxReplySize:
+		case len(body) < cap(body):
+			continue
+		case len(body) >= limit:
 			return nil, fmt.Errorf("the reply is larger than %d bytes", caller.options.MaxReplySize)
-		case len(block) < replyBlock:
-			return body, nil
 		}
-		reserved += replyBlock
-		if caller.largeReplyBytes.Add(replyBlock) > caller.options.MaxLargeReplyBytes {
-			return nil, errTooManyLargeReplies
+		size := min(limit, 2*cap(body))
+		if size > replyBlock {
+			if caller.largeReplyBytes.Add(int64(size-reserved)) > caller.options.MaxLargeReplyBytes {
+				reserved = size
+				return nil, errTooManyLargeReplies
+			}
+			reserved = size
 		}
+		body = append(make([]byte, 0, size), body...)
 	}
 }
 
--- a/caller/http1_conn.go
+++ b/caller/http1_conn.go
@@ -61,7 +61,6 @@
 // newHTTP1Conn returns a client connection over conn that accepts replies up to a size in bytes; RoundTrip limits the header
 // and the body of each reply, since a searcher in trouble may send either without end.
 func newHTTP1Conn(conn *gatedConn, maxReplySize int) *http1Conn {
-	const encodingFactor = 2 // more than chunks add to a body
 	client := &http1Conn{conn: conn, maxBodySize: encodingFactor * int64(maxReplySize)}
 	client.limit.R = conn
 	client.reader = bufio.NewReader(&client.limit)
