Refund an extra attempt in the slot that it was taken from

SlidingBudget.Refund took a count from the newest slot that had one, whichever attempt was refunded. The refunded attempt's own count stayed in an older slot and left the window sooner than the attempt whose count had been taken.

Refund is told when the attempt was taken.

TestSlidingBudgetRefundsAttemptsOwnSlot failed before: one attempt more than the limit in a window.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if kind != carobthread.AttemptFirst && gatherer.usesCurrentPolicy() {
-		gatherer.refund(query, shard)
+		gatherer.refund(query, shard, gatherer.now)
 	}
 	gatherer.closeShard(query, shard, reasonForClass(class))
 }
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -95,10 +95,10 @@
 	})
 }
 
-// refund gives back to the budget an extra attempt that was not sent.
-func (gatherer *Gatherer) refund(query *queryRow, shard uint32) {
+// refund gives back to the budget an extra attempt that was taken at the given time and not sent.
+func (gatherer *Gatherer) refund(query *queryRow, shard uint32, takenAt carobthread.Instant) {
 	if group := query.group(shard); group != nil {
-		group.slidingBudget.Refund()
+		group.slidingBudget.Refund(takenAt)
 		return
 	}
 	query.service.budget.Refund(1)
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -186,7 +186,7 @@
 	}
 	first, grouped := attempt.kind == carobthread.AttemptFirst, attempt.query.group(attempt.shard) != nil
 	if grouped && !first {
-		gatherer.refund(attempt.query, attempt.shard)
+		gatherer.refund(attempt.query, attempt.shard, attempt.sentAt)
 	}
 	state.freeRetry = grouped && first
 }
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -19,6 +19,8 @@
 	query *queryRow
 	shard uint32
 	kind  carobthread.AttemptKind
+	// since is when the attempt was queued and, if it is an extra one, taken from the budget.
+	since carobthread.Instant
 }
 
 // enqueue queues an attempt for a slot; it returns false if the shard's queue is full.
@@ -28,7 +30,7 @@
 		gatherer.stats.QueueFull++
 		return false
 	}
-	row.waiting = append(row.waiting, waitingAttempt{query: query, shard: shard, kind: kind})
+	row.waiting = append(row.waiting, waitingAttempt{query: query, shard: shard, kind: kind, since: gatherer.now})
 	if !row.inWaitingShards {
 		row.inWaitingShards = true
 		gatherer.waitingShards = append(gatherer.waitingShards, row)
@@ -65,7 +67,7 @@
 	entry.query.waiting--
 	entry.query.service.waiting--
 	if entry.kind != carobthread.AttemptFirst {
-		gatherer.refund(entry.query, entry.shard)
+		gatherer.refund(entry.query, entry.shard, entry.since)
 	}
 }
 
--- a/limiter/sliding_budget.go
+++ b/limiter/sliding_budget.go
@@ -64,13 +64,12 @@
 	return true
 }
 
-// Refund uncounts an extra attempt that was not sent.
-func (budget *SlidingBudget) Refund() {
-	for slot := range budget.extras {
-		if budget.extras[slot] > 0 {
-			budget.extras[slot]--
-			return
-		}
+// Refund uncounts an extra attempt that was taken at the given time and not sent. Only that attempt's own slot may be
+// reduced: with another one, a count that leaves the window sooner would stand for an attempt that was sent later.
+func (budget *SlidingBudget) Refund(takenAt carobthread.Instant) {
+	slot := budget.currentSlot - budget.slot(takenAt)
+	if slot >= 0 && slot <= windowSlots && budget.extras[slot] > 0 {
+		budget.extras[slot]--
 	}
 }
 
@@ -93,10 +92,14 @@
 	return permitted - float64(extras)
 }
 
+// slot returns the number of the slot that contains the time, counted from the epoch.
+func (budget *SlidingBudget) slot(at carobthread.Instant) int64 {
+	return int64(at) / int64(max(budget.window, windowSlots)/windowSlots)
+}
+
 // advance shifts the slots so that slot 0 contains the given time.
 func (budget *SlidingBudget) advance(now carobthread.Instant) {
-	length := int64(max(budget.window, windowSlots) / windowSlots)
-	slot := int64(now) / length
+	slot := budget.slot(now)
 	steps := slot - budget.currentSlot
 	if steps <= 0 {
 		return
--- a/limiter/sliding_budget_test.go
+++ b/limiter/sliding_budget_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"carobthread"
@@ -51,6 +52,31 @@
 	})
 }
 
+// Guards against a refund of an old attempt that takes a newer one out of the window, so that too many follow.
+func TestSlidingBudgetRefundsAttemptsOwnSlot(t *testing.T) {
+	const (
+		slack  = 30.0
+		window = 10 * time.Second
+	)
+	start := carobthread.Instant(time.Hour)
+	budget := limiter.NewSlidingBudget(start)
+	budget.Configure(0, slack, 1, window)
+	takeAll := func(now carobthread.Instant) (taken int) {
+		for budget.Take(now) {
+			taken++
+		}
+		return taken
+	}
+	early := start.Add(2 * window)
+	late := early.Add(window / 2)
+	assert.Assert(t, budget.Take(early))
+	limit := 1 + takeAll(late)
+	budget.Refund(early)
+	assert.Equal(t, takeAll(late), 1, "the refunded attempt may be sent by another")
+	assert.Equal(t, takeAll(early.Add(window+window/4)), 0, "all attempts of the window were sent within it")
+	assert.Equal(t, takeAll(late.Add(window+window/4)), limit)
+}
+
 func countBetween(times []carobthread.Instant, from, to carobthread.Instant) int {
 	count := 0
 	for _, at := range times {
