Send requests to other hosts up to the frame limit

The half stood for what the envelope adds, which is a few hundred bytes: the body is already encoded when it is checked. The limit is now the frame's less 4 KiB.

TestSendsRequestsUpToFrameLimit failed before at 2 MiB + 1; it also checks that a request over the limit is refused as not run and leaves its link usable.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, notRunError(carobthread.ReasonUpstreamFailed, err.Error())
 	}
-	if len(body) > maxFrameBytes/2 {
+	if len(body) > maxFrameBytes-maxEnvelopeBytes {
 		return nil, notRunError(carobthread.ReasonTooLarge, "the request exceeds the frame limit")
 	}
 	if ctx.Err() != nil {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -28,6 +28,7 @@
 // Limits and timeouts of links and requests.
 const (
 	maxFrameBytes      = 4 << 20 // a platform value of 1 MB grows by a third in base64
+	maxEnvelopeBytes   = 4 << 10 // of a request's frame beside its body: the method, the ID and the trace context
 	maxHelloBytes      = 4 << 10 // limits what an unknown client can make the host buffer
 	maxInFlight        = 64      // requests per peer in each direction
 	maxAwaitingHello   = 64      // accepted connections without a hello
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -246,6 +246,24 @@
 	assert.NilError(t, peer.Call(ctx, "a", "echo", nil, nil))
 }
 
+// Guards against a request that fits the frame limit and is refused, and against one that does not and spoils its link.
+func TestSendsRequestsUpToFrameLimit(t *testing.T) {
+	const limit, envelope = 4 << 20, 4 << 10
+	_, address := serve(t, handlerFunc(func(_ context.Context, _, _ string, params json.RawMessage) (any, error) { return len(params), nil }))
+	peer := dialler(t, address)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for _, size := range []int{limit/2 + 1, limit - envelope} {
+		var received int
+		assert.NilError(t, peer.Call(ctx, "a", "echo", strings.Repeat("x", size-len(`""`)), &received))
+		assert.Equal(t, received, size)
+	}
+	err := peer.Call(ctx, "a", "echo", strings.Repeat("x", limit), nil)
+	var failure *carobthread.RequestError
+	assert.Assert(t, errors.As(err, &failure) && failure.Reason == carobthread.ReasonTooLarge && failure.State == carobthread.NotRun, "%v", err)
+	assert.NilError(t, peer.Call(ctx, "a", "echo", "x", nil))
+}
+
 // Guards against a link that is closed because one slow request timed out, which would fail the other requests on it.
 func TestKeepsLinkThatAnswersOtherRequests(t *testing.T) {
 	release := make(chan struct{})
