Copy rejections of bookings late in the soak

A new fault makes the searchers of bookings reject each third request and send a late second copy, wherever the connection has got to by then.

--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -28,7 +28,9 @@
 )
 
 // regressionSeeds returns seeds that failed once; each one is listed with its cause.
-func regressionSeeds() []uint64 { return nil }
+func regressionSeeds() []uint64 {
+	return []uint64{501, 503} // a late copy of a rejection counted as the answer to the next try: bookings ran twice
+}
 
 const (
 	// concurrentFaults is the maximum number of faults at the same time.
@@ -66,6 +68,7 @@
 		{"searcher-proxy", (*soak).disruptSearcherProxy},
 		{"searcher-slow", (*soak).slowSearcher},
 		{"answers-lost", (*soak).dropResponses},
+		{"rejections-copied", (*soak).copyRejections},
 		{"store-refuses", (*soak).refuseStore},
 		{"store-proxy", (*soak).disruptStoreProxy},
 		{"connections-silenced", (*soak).silenceConnections},
@@ -220,6 +223,18 @@
 	time.Sleep(duration)
 }
 
+// copyRejections makes the searchers of bookings reject some of them, each with a late second copy that a host must not take
+// for the answer to its next try.
+func (run *soak) copyRejections(_ *rand.Rand, duration time.Duration) {
+	for _, searcher := range run.fleet.ledger {
+		searcher.RejectWithCopies(true)
+	}
+	time.Sleep(duration)
+	for _, searcher := range run.fleet.ledger {
+		searcher.RejectWithCopies(false)
+	}
+}
+
 func (run *soak) loseHeartbeats(random *rand.Rand, duration time.Duration) {
 	run.faultLock.RLock()
 	defer run.faultLock.RUnlock()
--- a/internal/standin/http_searcher.go
+++ b/internal/standin/http_searcher.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,6 +45,7 @@
 	draining              atomic.Bool
 	heartbeatsPaused      atomic.Bool
 	responsesToDrop       atomic.Int64
+	rejecting             atomic.Bool
 	serviceTime           atomic.Int64
 	requestsWhileDraining atomic.Int64
 	stop                  chan struct{}
@@ -71,7 +73,12 @@
 		searcher.address = searcher.proxy.Address()
 	}
 	searcher.serviceTime.Store(int64(options.ServiceTime))
-	searcher.server = &http.Server{Handler: searcher, ReadHeaderTimeout: readHeaderTimeout}
+	searcher.server = &http.Server{
+		Handler: searcher, ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
 	go func() { _ = searcher.server.Serve(listener) }()
 	searcher.sendHeartbeat()
 	searcher.heartbeats.Go(searcher.sendHeartbeats)
@@ -103,6 +110,10 @@
 // DropResponses makes the searcher run the next count requests but close the connection instead of responding.
 func (searcher *HTTPSearcher) DropResponses(count int) { searcher.responsesToDrop.Store(int64(count)) }
 
+// RejectWithCopies makes the searcher reject each third request as not run and send a late second copy of every rejection,
+// or ends that.
+func (searcher *HTTPSearcher) RejectWithCopies(rejecting bool) { searcher.rejecting.Store(rejecting) }
+
 // Drain registers the searcher as draining; it continues to serve requests.
 func (searcher *HTTPSearcher) Drain() {
 	searcher.draining.Store(true)
@@ -184,6 +195,10 @@
 	if err != nil {
 		return
 	}
+	if searcher.rejecting.Load() && rand.IntN(rejectionPeriod) == 0 {
+		searcher.reject(writer, request)
+		return
+	}
 	select {
 	case searcher.slots <- struct{}{}:
 	case <-request.Context().Done():
@@ -209,6 +224,26 @@
 	_, _ = writer.Write(body) // the caller may have disconnected
 }
 
+// rejectionPeriod is the number of requests to one rejection, on average.
+const rejectionPeriod = 3
+
+// maxCopyDelay bounds the time between a rejection and its second copy.
+const maxCopyDelay = 100 * time.Millisecond
+
+type connKey struct{}
+
+// reject rejects a request as not run and sends a second copy of the rejection after a while, wherever the connection has got
+// to by then.
+func (searcher *HTTPSearcher) reject(writer http.ResponseWriter, request *http.Request) {
+	names := &searcher.options.Headers
+	id := request.Header.Get(names.RequestID)
+	conn, _ := request.Context().Value(connKey{}).(net.Conn)
+	copied := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", names.RequestID, id, names.NotRun)
+	time.AfterFunc(rand.N(maxCopyDelay), func() { _, _ = conn.Write([]byte(copied)) }) // the caller may have disconnected
+	writer.Header().Set(names.NotRun, "1")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // records returns unsorted records: a four-byte key followed by the name of the searcher's group.
 func (searcher *HTTPSearcher) records() []byte {
 	const recordBytes = 16
