Accept replies to HEAD whatever length they state

A reply to HEAD states the length of the reply to GET and has no body.

TestHTTPReplyToHead failed before with 'the reply is larger than 4194304 bytes'.

--- a/caller/http.go
+++ b/caller/http.go
@@ -182,8 +182,9 @@
 }
 
 // acquire returns a connection that its searcher is not about to close and that has carried no earlier attempt of the
-// request which ended without a result. An at-most-once request gets no connection that was idle for longer than maxAtMostOnceIdle, since a searcher may have dropped an idle connection silently. A
-// request without an ID gets a new connection, since its reply can't be told from a second copy of an earlier one.
+// request which ended without a result. An at-most-once request gets no connection that was idle for longer than
+// maxAtMostOnceIdle, since a searcher may have dropped an idle connection silently. A request without an ID gets a new
+// connection, since its reply can't be told from a second copy of an earlier one.
 func (caller *HTTPCaller) acquire(ctx context.Context, pool *pool, id string, atMostOnce bool) (*connection, error) {
 	for {
 		conn, err := pool.acquire(ctx, true, id)
@@ -213,7 +214,11 @@
 		return nil, false, err
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read, or its connection is discarded
-	body, err := caller.readBody(response.Body, response.ContentLength)
+	length := response.ContentLength
+	if httpRequest.Method == http.MethodHead {
+		length = 0 // the reply states the length that the reply to a GET has
+	}
+	body, err := caller.readBody(response.Body, length)
 	if err != nil {
 		return nil, false, fmt.Errorf("read reply: %w", err)
 	}
--- a/caller/http_test.go
+++ b/caller/http_test.go
@@ -380,6 +380,21 @@
 	}
 }
 
+// Guards against a reply without a body that is refused because the length that it states for a GET exceeds the limit.
+func TestHTTPReplyToHead(t *testing.T) {
+	searcher := newRawSearcher(t)
+	searcher.replyFormat = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 1000000000\r\n\r\n"
+	client := caller.NewHTTP(caller.HTTPOptions{Headers: platform.Headers(), Timer: timer.New(), Connections: 1})
+	defer client.Close()
+	for _, id := range []string{"r1", "r2"} {
+		request := newShardRequest(id, "/x/1")
+		request.Request.HTTP.Method, request.Request.Body = http.MethodHead, nil
+		reply, err := client.SearchShard(t.Context(), carobthread.Searcher{Name: "s", Address: searcher.listener.Addr().String(), Instance: "i"}, request)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Status, carobthread.ReplyOK)
+	}
+}
+
 // Guards against a header that is read far beyond its limit because the limit of the body applies to both.
 func TestHTTPHeaderLimit(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
