--- a/recorder/reader_test.go
+++ b/recorder/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -47,7 +48,7 @@
 }
 
 // FuzzRead guards against input that crashes the reader, malformed input that is rejected without a position, and valid
-// traces that cannot be replayed.
+// traces that cannot be replayed or that differ once they are recorded again.
 func FuzzRead(f *testing.F) {
 	f.Add([]byte("{\"header\":{\"format\":1,\"seed\":1,\"options\":{}}}\n{\"event\":{\"at\":1,\"tick\":{}}}\n"))
 	paths, err := filepath.Glob(filepath.Join("testdata", "*.jsonl"))
@@ -70,5 +71,24 @@
 		if _, err := recorder.Replay(trace); err != nil {
 			t.Fatal(err)
 		}
+		var output bytes.Buffer
+		header := &trace.Header
+		recording := recorder.New(&output, header.Seed, header.Options, gatherer.New(header.Seed, header.Options))
+		for _, step := range trace.Steps {
+			recording.Step(step.Event)
+		}
+		again, err := recorder.Read("again", &output)
+		assert.NilError(t, err)
+		assert.Equal(t, len(again.Steps), len(trace.Steps))
+		for i, step := range trace.Steps {
+			assert.Equal(t, encode(t, again.Steps[i].Event), encode(t, step.Event))
+		}
 	})
 }
+
+func encode(t *testing.T, event carobthread.Event) string {
+	t.Helper()
+	text, err := json.Marshal(event)
+	assert.NilError(t, err)
+	return string(text)
+}
