--- a/caller/pool.go
+++ b/caller/pool.go
@@ -30,7 +30,8 @@
 	unresolved []uint64
 }
 
-// maxUnresolved is the number of requests answered without a result after which a connection is closed.
+// maxUnresolved is the number of requests answered without a result after which a connection is closed. It bounds the record
+// to 2 KB a connection while a searcher that rejects requests does not cost a new connection for each.
 const maxUnresolved = 256
 
 // recordUnresolved records that the request was answered without a result and reports whether the connection may be used
--- a/internal/standin/http_searcher.go
+++ b/internal/standin/http_searcher.go
@@ -110,8 +110,8 @@
 // DropResponses makes the searcher run the next count requests but close the connection instead of responding.
 func (searcher *HTTPSearcher) DropResponses(count int) { searcher.responsesToDrop.Store(int64(count)) }
 
-// RejectWithCopies makes the searcher reject each third request as not run and send a late second copy of every rejection,
-// or ends that.
+// RejectWithCopies makes the searcher reject a third of the requests as not run and send a late second copy of every
+// rejection, or ends that.
 func (searcher *HTTPSearcher) RejectWithCopies(rejecting bool) { searcher.rejecting.Store(rejecting) }
 
 // Drain registers the searcher as draining; it continues to serve requests.
