Log where the time of an attempt went

Cause: the logs of a late search told when an attempt was sent and ended, not whether it waited for a connection, a handshake, the searcher or the body.

Change: attempt-ended lines state when the attempt had a connection, whether that was new, when the header and the body were read, and the load that the searcher stated.

Measured: go test ./caller ./server ./forwarder ./explainer passes.

--- a/caller/http.go
+++ b/caller/http.go
@@ -161,6 +161,7 @@
 
 // SearchShard forwards one attempt. A failure is a *RequestError whose state is NotRun only if no byte was written.
 func (caller *HTTPCaller) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
+	started := caller.options.Timer.Now()
 	pool := caller.pool(searcher)
 	conn, err := caller.acquire(ctx, pool, request.Request.ID, request.AtMostOnce)
 	if err != nil {
@@ -168,11 +169,14 @@
 	}
 	gate := &gate{permit: func() error { return cmp.Or(ctx.Err(), pool.checkAccepting()) }}
 	conn.raw.gate.Store(gate)
+	timing := carobthread.AttemptTiming{Connected: caller.options.Timer.Now().Sub(started), NewConnection: conn.lastUsedAt == 0}
 	reply, reusable, err := caller.exchange(ctx, conn, searcher, request)
 	unwritten, cause := gate.close()
 	pool.release(conn, err == nil && reusable && conn.client.Err() == nil)
 	switch {
 	case err == nil:
+		timing.FirstByte, timing.Complete = reply.Timing.FirstByte+timing.Connected, caller.options.Timer.Now().Sub(started)
+		reply.Timing = timing
 		return reply, nil
 	case unwritten:
 		return nil, newRequestError(carobthread.NotRun, request.Service, errors.Join(cause, err))
@@ -209,10 +213,12 @@
 	if err != nil {
 		return nil, false, err
 	}
+	started := caller.options.Timer.Now()
 	response, err := conn.client.RoundTrip(httpRequest)
 	if err != nil {
 		return nil, false, err
 	}
+	firstByte := caller.options.Timer.Now().Sub(started)
 	defer func() { _ = response.Body.Close() }() // the body has been read, or its connection is discarded
 	length := response.ContentLength
 	if httpRequest.Method == http.MethodHead {
@@ -229,6 +235,7 @@
 	conn.expiresAt = caller.keepAliveExpiry(response.Header)
 	conn.lastUsedAt = caller.options.Timer.Now()
 	reply = caller.classifyReply(request, response, body)
+	reply.Timing.FirstByte = firstByte
 	reusable = !response.Close && request.Request.ID != ""
 	if reply.Status != carobthread.ReplyOK {
 		reusable = conn.recordUnresolved(request.Request.ID) && reusable
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -87,7 +87,12 @@
 			Int("in-flight", event.Inputs.InFlight).Int("limit", event.Inputs.Limit).
 			Int64("estimate-us", event.Inputs.Estimate.Microseconds()).Int64("estimate-age-us", event.Inputs.EstimateAge.Microseconds())
 	case server.AttemptEnded:
-		line = line.Str("status", string(event.Status)).AnErr("error", event.Cause)
+		line = line.Str("status", string(event.Status)).AnErr("error", event.Cause).
+			Int64("connected-us", event.Timing.Connected.Microseconds()).Bool("new-connection", event.Timing.NewConnection).
+			Int64("first-byte-us", event.Timing.FirstByte.Microseconds()).Int64("complete-us", event.Timing.Complete.Microseconds())
+		if load := event.Load; load != nil {
+			line = line.Int("running", load.Running).Int("queued", load.Queued).Int("slots", load.Slots)
+		}
 	case server.AttemptGivenUp:
 	}
 	line.Msg(event.Decision.Text())
--- a/server/attempt.go
+++ b/server/attempt.go
@@ -41,6 +41,9 @@
 	Inputs   carobthread.ChoiceInputs
 	Status   carobthread.ReplyStatus
 	Cause    error
+	// Timing and Load are those of the reply; they are zero without one, and Load may be nil.
+	Timing carobthread.AttemptTiming
+	Load   *carobthread.Load
 }
 
 // giveUp cancels an attempt whose reply is no longer needed: after Linger if the attempt may finish, at once otherwise.
@@ -147,10 +150,14 @@
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
 	if query := search.pending[action.Query]; query != nil {
-		query.attemptEvents = append(query.attemptEvents, AttemptEvent{
+		ended := AttemptEvent{
 			At: search.options.Timer.Now(), Decision: AttemptEnded, Attempt: action.Attempt, Shard: action.Shard,
 			Searcher: action.Searcher, Status: event.Status, Cause: err,
-		})
+		}
+		if matches {
+			ended.Timing, ended.Load = reply.Timing, reply.Load
+		}
+		query.attemptEvents = append(query.attemptEvents, ended)
 		if matches {
 			query.storeReply(action.Attempt, reply)
 		}
--- a/upstream.go
+++ b/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // Request is a caller's request as the query path sends it to searchers.
@@ -71,6 +72,18 @@
 	Load *Load
 	// Backpressure is what the searcher asks of its callers, or nil if the reply can't state it.
 	Backpressure *Backpressure
+	// Timing tells where the time of the attempt went; it is zero if the Upstream doesn't measure it.
+	Timing AttemptTiming
+}
+
+// AttemptTiming holds the times of the steps of one attempt, from its start, for operators.
+type AttemptTiming struct {
+	// Connected is when the attempt had a connection, which NewConnection tells was opened for it.
+	Connected     time.Duration
+	NewConnection bool
+	// FirstByte is when the header of the reply was read, Complete when its body was.
+	FirstByte time.Duration
+	Complete  time.Duration
 }
 
 // Backpressure is what a searcher in need asks of its callers in a reply; it holds until another reply states otherwise.
