Evacuate a data centre on the operator's request

The follower now keeps the keys op/evacuate/NAME beside the searchers' registrations, with tombstones, and deltas carry both to hosts that the store refuses or that have restarted. Load moves away over one second where the age of the copy of the store leaves half of [store] evacuation-bound, otherwise at once. From then on the searchers count as gone with the reason evacuated, and requests of which no byte has been written are held back. After the end they return with slow start; searcherRow.evacuationEndedAt holds the time.

--- a/caller/http.go
+++ b/caller/http.go
@@ -34,8 +34,8 @@
 	defaultMaxLargeReplyBytes = 64 << 20
 )
 
-// errSearcherLeaving is returned for requests to a searcher that is leaving.
-var errSearcherLeaving = errors.New("the searcher is leaving")
+// errSearcherLeaving is returned for requests to a searcher that is leaving or whose data centre is evacuated.
+var errSearcherLeaving = errors.New("the searcher is leaving or evacuated")
 
 // errUnidentifiedReply is returned for a reply without a request ID on a connection that has been used before.
 var errUnidentifiedReply = errors.New("the reply has no request ID and may be a copy of an earlier one")
@@ -97,7 +97,7 @@
 	}
 }
 
-// SetLeaving sets whether the searcher is leaving. While it is, requests of which no byte has been written fail as not run.
+// SetLeaving sets whether the searcher is leaving or evacuated. While it is, requests of which no byte has been written fail as not run.
 //
 // This covers requests that have waited for a connection since their searcher was chosen, possibly for a long time.
 func (caller *HTTPCaller) SetLeaving(searcher string, leaving bool) {
--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -42,6 +42,14 @@
 	latencySlack    = time.Second
 	topRecords      = 20 // records in a merged answer
 	ledgerSearchers = 4
+	// evacuationBound is the time after a request to evacuate a data centre by which no attempt may reach it.
+	evacuationBound = 5 * time.Second
+)
+
+// The hosts and most searchers are in homeCentre, the last searcher of each group in remoteCentre.
+const (
+	homeCentre   = "one"
+	remoteCentre = "two"
 )
 
 // forwardingSite is a deployment of daemons that forward plain HTTP requests.
@@ -102,8 +110,8 @@
 
 func (fleet *forwardingSite) writeSettings(t *testing.T, entry *process, seeds []string, slack int) {
 	t.Helper()
-	content := fmt.Sprintf("[host]\nname = %s\ndata-centre = one\ncaller-address = %s\npeer-address = %s\noperator-address = %s\n"+
-		"[store]\naddress = %s\n[forward]\nretry-slack = %d\n[peers]\naddresses = %s\n[stop]\ngrace = 0s\nlimit = 3s\n",
+	content := fmt.Sprintf("[host]\nname = %s\ndata-centre = "+homeCentre+"\ncaller-address = %s\npeer-address = %s\noperator-address = %s\n"+
+		"[store]\naddress = %s\nevacuation-bound = "+evacuationBound.String()+"\n[forward]\nretry-slack = %d\n[peers]\naddresses = %s\n[stop]\ngrace = 0s\nlimit = 3s\n",
 		entry.name, entry.addresses[0], entry.addresses[1], entry.addresses[2], fleet.storeProxy.Address(), slack, strings.Join(seeds, ","))
 	// The rename is atomic, so a daemon never reads a partly written file.
 	assert.NilError(t, os.WriteFile(entry.settings+".new", []byte(content), 0o600))
@@ -114,8 +122,12 @@
 	t.Helper()
 	var searchers []*standin.HTTPSearcher
 	for index := range count {
+		dataCentre := homeCentre
+		if index == count-1 {
+			dataCentre = remoteCentre
+		}
 		searcher, err := standin.NewHTTPSearcher(standin.HTTPSearcherOptions{
-			ID: fmt.Sprintf("%s-%d", name, index), Group: name, DataCentre: "one", Slots: searcherSlots, ServiceTime: serviceTime,
+			ID: fmt.Sprintf("%s-%d", name, index), Group: name, DataCentre: dataCentre, Slots: searcherSlots, ServiceTime: serviceTime,
 			Records: records, Headers: platform.Headers(), Store: fleet.store, BehindProxy: true,
 		})
 		assert.NilError(t, err)
@@ -443,17 +455,89 @@
 	assert.Equal(t, leaving.RequestsWhileDraining(), before)
 }
 
-// Guards against a status page that is unavailable or reports an outdated state.
-func TestForwardingStatusPage(t *testing.T) {
-	fleet := startForwarding(t)
+// remoteRequests returns the number of requests that have arrived at the searchers in remoteCentre.
+func (fleet *forwardingSite) remoteRequests() int64 {
+	requests := int64(0)
+	for _, group := range append(fleet.shards, fleet.ledger) {
+		for _, searcher := range group {
+			if searcher.DataCentre() == remoteCentre {
+				requests += searcher.Requests()
+			}
+		}
+	}
+	return requests
+}
+
+// awaitEvacuation waits until every host reports that the evacuation of the data centre is complete, or that there is none
+// if the data centre is empty.
+func (fleet *forwardingSite) awaitEvacuation(t *testing.T, dataCentre string) {
+	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, entry := range fleet.processes {
-			response, err := http.Get("http://" + entry.addresses[2] + "/status")
+			status, err := entry.forwardingStatus()
 			if err != nil {
 				return poll.Error(err)
 			}
-			var status runner.ForwardingStatus
-			err = errors.Join(json.NewDecoder(response.Body).Decode(&status), response.Body.Close())
+			evacuated := ""
+			for _, evacuation := range status.Evacuated {
+				if evacuation.Complete {
+					evacuated = evacuation.DataCentre
+				}
+			}
+			if evacuated != dataCentre {
+				return poll.Continue("%s reports %+v", entry.name, status.Evacuated)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(evacuationBound), poll.WithDelay(20*time.Millisecond))
+}
+
+func (entry *process) forwardingStatus() (status runner.ForwardingStatus, err error) {
+	response, err := http.Get("http://" + entry.addresses[2] + "/status")
+	if err != nil {
+		return status, err
+	}
+	return status, errors.Join(json.NewDecoder(response.Body).Decode(&status), response.Body.Close())
+}
+
+// Guards against requests that reach an evacuated data centre, also through a host that restarts while the store refuses
+// it; against lost answers while load moves; and against searchers that are not used again afterwards.
+func TestForwardingEvacuatesDataCentre(t *testing.T) {
+	fleet := startForwarding(t)
+	workload := fleet.startLoad()
+	fleet.store.Evacuate(remoteCentre)
+	fleet.awaitEvacuation(t, remoteCentre)
+	time.Sleep(2 * serviceTime) // requests that are being written arrive
+	before := fleet.remoteRequests()
+	fleet.store.SetFailure(http.StatusServiceUnavailable, false)
+	entry := fleet.processes[1]
+	assert.NilError(t, entry.command.Process.Kill())
+	<-entry.ended
+	entry.startForwarding(t)
+	fleet.awaitReady(t)
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, fleet.remoteRequests(), before)
+	fleet.store.SetFailure(0, false)
+	fleet.store.EndEvacuation(remoteCentre)
+	fleet.awaitEvacuation(t, "")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if fleet.remoteRequests() == before {
+			return poll.Continue("the searchers are not used again")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	workload.end(t)
+	for _, unexpected := range workload.unexpected { // the killed process closes its connections
+		assert.Check(t, strings.Contains(unexpected, "EOF") || strings.Contains(unexpected, "connection re"), unexpected)
+	}
+}
+
+// Guards against a status page that is unavailable or reports an outdated state.
+func TestForwardingStatusPage(t *testing.T) {
+	fleet := startForwarding(t)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, entry := range fleet.processes {
+			status, err := entry.forwardingStatus()
 			if err != nil {
 				return poll.Error(err)
 			}
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -80,6 +80,7 @@
 		{"configuration", (*soak).changeConfiguration},
 		{"heartbeats-lost", (*soak).loseHeartbeats},
 		{"searcher-leaves", (*soak).drainSearcher},
+		{"data-centre-evacuated", (*soak).evacuate},
 	}
 }
 
@@ -193,6 +194,30 @@
 	searcher.Reregister()
 }
 
+// evacuate evacuates a data centre and then returns it to service; while no other fault affects hosts or the store, hosts must
+// send it no requests after evacuationBound, and neither may one that is restarted meanwhile and that the store refuses.
+func (run *soak) evacuate(_ *rand.Rand, _ time.Duration) {
+	if !run.faultLock.TryLock() {
+		return
+	}
+	defer run.faultLock.Unlock()
+	time.Sleep(settleTime)
+	run.fleet.store.Evacuate(remoteCentre)
+	time.Sleep(evacuationBound)
+	before := run.fleet.remoteRequests()
+	run.fleet.store.SetFailure(http.StatusServiceUnavailable, false)
+	entry := run.fleet.processes[hostCount-1] // no other fault uses a host now
+	_ = entry.command.Process.Kill()
+	<-entry.ended
+	run.restart(entry)
+	time.Sleep(maxFaultDuration / 4)
+	if received := run.fleet.remoteRequests() - before; assert.Check(run.t, received == 0, "%d requests reached the evacuated data centre", received) {
+		run.t.Logf("the data centre was evacuated and received nothing after %s", evacuationBound)
+	}
+	run.fleet.store.SetFailure(0, false)
+	run.fleet.store.EndEvacuation(remoteCentre)
+}
+
 func (run *soak) disruptStoreProxy(random *rand.Rand, duration time.Duration) {
 	run.faultLock.RLock()
 	defer run.faultLock.RUnlock()
--- a/config.go
+++ b/config.go
@@ -69,10 +69,20 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Leaving     bool   `json:"leaving"`
+	// Evacuated is set if the operator evacuates the searcher's data centre. Attempts move away between EvacuationStart and
+	// EvacuationEnd; from then on none is sent.
+	Evacuated       bool    `json:"evacuated,omitempty"`
+	EvacuationStart Instant `json:"evacuation-start,omitempty"`
+	EvacuationEnd   Instant `json:"evacuation-end,omitempty"`
 	// Instance identifies the only process that may run a request, for searchers whose addresses are reused.
 	Instance string `json:"instance,omitempty"`
 }
 
+// EvacuatedAt reports whether the evacuation of the searcher's data centre is complete, so that it is sent nothing more.
+func (searcher *Searcher) EvacuatedAt(now Instant) bool {
+	return searcher.Evacuated && now >= searcher.EvacuationEnd
+}
+
 // Config is the complete active configuration; slices are ordered by name so that iteration is deterministic.
 type Config struct {
 	Services  []Service  `json:"services"`
--- a/errors.go
+++ b/errors.go
@@ -36,6 +36,7 @@
 	ReasonNotReady         Reason = "not-ready"
 	ReasonNoReplica        Reason = "no-replica"
 	ReasonCutOff           Reason = "cut-off"
+	ReasonEvacuated        Reason = "evacuated"
 	ReasonNoSlot           Reason = "no-slot"
 	ReasonTimeout          Reason = "timeout"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
--- a/follower/doc.go
+++ b/follower/doc.go
@@ -8,5 +8,7 @@
 //   - registrations are kept while the store is unavailable; a removal that the
 //     store reports after an outage takes effect only removalHold after the
 //     store's recovery, since the searchers must first be able to write again;
+//   - a request to evacuate a data centre is in force until its withdrawal is
+//     known, also while the store is unavailable;
 //   - an item that cannot be decoded adds no searcher and removes none but its own.
 package follower
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -38,6 +38,7 @@
 	tableItem   carobthread.StoreItem
 	tableSource string
 	entries     map[string]*entry
+	evacuations map[string]*evacuation
 	// asOf is the store's revision up to which all changes are known, or 0 before the first list.
 	asOf uint64
 	// failedAt is when the last failed call of the store was recorded, or 0 without one.
@@ -50,7 +51,7 @@
 
 // New returns an empty follower.
 func New(decoder carobthread.ItemDecoder) *Follower {
-	return &Follower{decoder: decoder, entries: map[string]*entry{}}
+	return &Follower{decoder: decoder, entries: map[string]*entry{}, evacuations: map[string]*evacuation{}}
 }
 
 // Change describes what an input changed.
@@ -59,6 +60,8 @@
 	Searchers bool
 	// SearcherChanges are the changes of single searchers, in order.
 	SearcherChanges []SearcherChange
+	// Evacuations are the requests to evacuate data centres and their withdrawals, in order.
+	Evacuations []EvacuationChange
 	// DecodeErrors are the errors of items that could not be decoded.
 	DecodeErrors []error
 }
@@ -142,6 +145,7 @@
 			follower.remove(now, key, asOf, &change)
 		}
 	}
+	follower.withdrawUnlisted(now, listed, asOf, &change)
 	follower.asOf = max(follower.asOf, asOf)
 	follower.compactedRevision = max(follower.compactedRevision, asOf)
 	return change
@@ -200,6 +204,7 @@
 			delta.Items = append(delta.Items, stored.item)
 		}
 	}
+	delta.Items = append(delta.Items, follower.evacuationsSince(peerDigest.AsOf, delta.Whole)...)
 	return delta
 }
 
@@ -234,6 +239,7 @@
 			delete(follower.entries, key)
 		}
 	}
+	follower.expireWithdrawals(now)
 	return change
 }
 
@@ -253,7 +259,9 @@
 			}
 			continue
 		}
-		follower.applyEntry(now, item, &change)
+		if !follower.applyEvacuation(now, item, &change) {
+			follower.applyEntry(now, item, &change)
+		}
 	}
 	return change
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -31,6 +31,13 @@
 type script struct {
 	now   carobthread.Instant
 	hosts map[string]*follower.Follower
+	late  follower.Delta
+}
+
+// deltaFor returns what the named host lacks, as the other one computes it.
+func (run *script) deltaFor(name string) follower.Delta {
+	other := run.hosts[map[string]string{"a": "b", "b": "a"}[name]]
+	return other.DeltaFor(run.hosts[name].Digest())
 }
 
 func (run *script) reset() {
@@ -63,9 +70,14 @@
 	case "tick":
 		change = host.Tick(run.now)
 	case "sync": // the other host sends the named one what it lacks
-		other := run.hosts[map[string]string{"a": "b", "b": "a"}[name]]
-		delta := other.DeltaFor(host.Digest())
-		change = host.ApplyDelta(run.now, "peer", delta)
+		change = host.ApplyDelta(run.now, "peer", run.deltaFor(name))
+	case "prepare": // the other host computes what the named one lacks, which arrives late
+		run.late = run.deltaFor(name)
+	case "deliver":
+		change = host.ApplyDelta(run.now, "peer", run.late)
+	case "restart":
+		run.hosts[name] = follower.New(platform.Decoder{})
+		return ""
 	default:
 		data.Fatalf(t, "unknown command %s", data.Cmd)
 	}
@@ -126,6 +138,16 @@
 			output.WriteString("(draining)")
 		}
 	}
+	for _, evacuation := range host.Evacuations() {
+		fmt.Fprintf(&output, " evacuated %s by %d", evacuation.DataCentre, evacuation.Revision)
+	}
+	for _, evacuation := range change.Evacuations {
+		verb := "evacuate"
+		if evacuation.Restored {
+			verb = "restore"
+		}
+		fmt.Fprintf(&output, "; %s %s", verb, evacuation.DataCentre)
+	}
 	if change.Table {
 		output.WriteString("; table changed")
 	}
--- a/forwarding.go
+++ b/forwarding.go
@@ -96,6 +96,18 @@
 	WarmUpLeft time.Duration
 }
 
+// Evacuation is an operator's request that nothing more is sent to the searchers of a data centre.
+type Evacuation struct {
+	DataCentre string
+	// Revision is the store's revision of the request.
+	Revision uint64
+	// LearnedAt is when this host learned of the request.
+	LearnedAt Instant
+	// CompleteAt is the time from which no attempt is sent there; a share of the attempts that grows from LearnedAt on goes
+	// elsewhere before.
+	CompleteAt Instant
+}
+
 // StoreItem is one item of the platform's store, or the tombstone of a removed item.
 type StoreItem struct {
 	Key      string
@@ -158,6 +170,9 @@
 	Table(item StoreItem) (table RoutingTable, isTable bool, err error)
 	// Registration decodes a searcher's registration; isRegistration is false if the item is not a registration.
 	Registration(item StoreItem) (registration Registration, isRegistration bool, err error)
+	// Evacuation decodes the request to evacuate a data centre, or its withdrawal if the item is removed; isEvacuation is
+	// false if the item is no such request.
+	Evacuation(item StoreItem) (dataCentre string, isEvacuation bool, err error)
 }
 
 // HeaderNames holds the names of the HTTP headers that the query path uses.
--- a/gatherer/centre.go
+++ b/gatherer/centre.go
@@ -192,7 +192,11 @@
 	switch {
 	case usable < required:
 		inputs := carobthread.RefusalInputs{Reachable: usable, Required: required}
-		gatherer.refuseFor(arrived, carobthread.ReasonNoReplica, noReplicaRetryAfter, inputs)
+		reason := carobthread.ReasonNoReplica
+		if plan.layout.reachableButForEvacuation() >= required {
+			reason = carobthread.ReasonEvacuated
+		}
+		gatherer.refuseFor(arrived, reason, noReplicaRetryAfter, inputs)
 		return false
 	case service.cutOff && gatherer.now < gatherer.nextProbeAt:
 		inputs := carobthread.RefusalInputs{Reachable: connected, Required: required, CutOff: gatherer.cutOffCentres()}
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -38,6 +38,8 @@
 	classTried
 	classLacksSnapshot
 	classLacksLayout
+	// classEvacuated is in a data centre that the operator evacuates.
+	classEvacuated
 	// classGone is draining, leaving or no longer configured.
 	classGone
 )
@@ -45,7 +47,7 @@
 // String returns the name of the class in logs.
 func (class replicaClass) String() string {
 	names := [...]string{
-		"local", "remote", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "gone",
+		"local", "remote", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "evacuated", "gone",
 	}
 	return names[class]
 }
@@ -197,8 +199,10 @@
 	replica := &query.current.layout.shards[shard].replicas[index]
 	searcher := replica.row.searcher
 	switch {
-	case !searcher.usable():
+	case !searcher.staying():
 		return classGone
+	case searcher.config.Evacuated && gatherer.avoidsEvacuated(query, shard, searcher):
+		return classEvacuated
 	case gatherer.now < replica.layoutRefusedUntil:
 		return classLacksLayout
 	case query.current.pinned && gatherer.lacksSnapshot(searcher, query.current.snapshot):
@@ -370,6 +374,8 @@
 		return carobthread.ReasonSnapshotMissing
 	case classLacksLayout:
 		return carobthread.ReasonLayoutMissing
+	case classEvacuated:
+		return carobthread.ReasonEvacuated
 	default:
 		return carobthread.ReasonNoReplica
 	}
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -31,6 +31,7 @@
 	gatherer.planEpoch++
 	gatherer.retryBudget = config.RetryBudget
 	gatherer.configureSearchers(config.Searchers)
+	gatherer.completeEvacuations()
 	gatherer.configureServices(config)
 	gatherer.configureGroups()
 	gatherer.linkShards()
@@ -61,6 +62,7 @@
 		if row.config.Leaving && !searcher.Leaving && gatherer.usesCurrentPolicy() {
 			row.limit.Restart()
 		}
+		gatherer.recordRestored(row, &searcher)
 		row.config = searcher
 		row.centre = gatherer.centre(searcher.DataCentre)
 		row.centre.searchers++
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -42,6 +42,8 @@
 	groups         map[string]*groupRow
 	retiredLayouts []*layoutRow
 	nextConnectAt  carobthread.Instant
+	// evacuationDueAt is when the next evacuation is complete, or 0 without one.
+	evacuationDueAt carobthread.Instant
 	// nextProbeAt is when the next query may be sent to data centres that are cut off.
 	nextProbeAt carobthread.Instant
 	remote      remoteView
@@ -100,6 +102,10 @@
 	if gatherer.startedAt == 0 {
 		gatherer.startedAt = gatherer.now
 	}
+	if gatherer.evacuationDueAt != 0 && gatherer.now >= gatherer.evacuationDueAt {
+		gatherer.completeEvacuations()
+		gatherer.sendAllWaiting()
+	}
 	switch {
 	case event.Query != nil:
 		gatherer.runTimers()
@@ -135,6 +141,9 @@
 	if len(gatherer.timers) > 0 {
 		due = min(due, gatherer.timers[0].due)
 	}
+	if gatherer.evacuationDueAt != 0 {
+		due = min(due, gatherer.evacuationDueAt)
+	}
 	if len(gatherer.waitingShards) > 0 {
 		due = min(due, gatherer.now.Add(waitingPollInterval))
 	}
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -57,8 +57,12 @@
 		gatherer.revertUnsentAttempt(attempt, state)
 	}
 	shard, index, unpinned := attempt.shard, attempt.index, attempt.unpinned
+	heldBack := attempt.heldBack(reply.Status)
 	gatherer.release(attempt)
 	gatherer.addToCandidate(query, shard, reply)
+	if heldBack {
+		state.reason = carobthread.ReasonEvacuated
+	}
 	if state.reply == 0 && unpinned && reply.Status == carobthread.ReplyOK {
 		// The searcher was asked for its newest snapshot and not for this one, so it may be tried again.
 		state.tried &^= replicaBit(index)
@@ -152,7 +156,7 @@
 			gatherer.planEpoch++
 		}
 	}
-	if !gatherer.usesCurrentPolicy() {
+	if !gatherer.usesCurrentPolicy() || attempt.heldBack(reply.Status) {
 		return
 	}
 	if reply.Status != carobthread.ReplyFailed && reply.Status != carobthread.ReplyNotSent {
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -90,6 +90,8 @@
 		return run.step(carobthread.Event{Stop: &carobthread.StopBegun{AnswerBy: run.now.Add(run.duration(data, "in"))}})
 	case "reach":
 		return run.step(carobthread.Event{Reach: &carobthread.DataCentreReached{DataCentre: run.text(data, "centre", "")}})
+	case "spread":
+		return run.spread(run.number(data, "queries", 0))
 	case "replica-groups":
 		return fmt.Sprintln(run.core.Groups())
 	case "cut-off":
@@ -136,7 +138,7 @@
 }
 
 // config returns a configuration with two layouts; the second has one more shard, on the searchers of the first shard.
-// In the script, max sets the service's MaxInFlight, attempts its MaxSearchers and once its AtMostOnce.
+// In the script, evacuated names data centres that are evacuated from now on over a time, max sets the service's MaxInFlight, attempts its MaxSearchers and once its AtMostOnce.
 func (run *script) config(data *datadriven.TestData) carobthread.Config {
 	config := fleet(run.number(data, "shards", 1), run.number(data, "slots", 3))
 	config.Services[0].MaxInFlight = run.number(data, "max", 0)
@@ -161,7 +163,11 @@
 		}
 	}
 	for i := range config.Searchers {
-		config.Searchers[i].Connections = run.number(data, "connections", config.Searchers[i].Connections)
+		searcher := &config.Searchers[i]
+		searcher.Connections = run.number(data, "connections", searcher.Connections)
+		if slices.Contains(strings.Split(run.text(data, "evacuated", ""), "+"), searcher.DataCentre) {
+			searcher.Evacuated, searcher.EvacuationStart, searcher.EvacuationEnd = true, run.now, run.now.Add(run.duration(data, "over"))
+		}
 	}
 	for _, name := range strings.Split(run.text(data, "drop", ""), "+") {
 		config = withoutSearcher(config, name)
@@ -201,6 +207,24 @@
 	}
 }
 
+// spread runs queries that are replied to at once and returns the share of their attempts in each data centre.
+func (run *script) spread(queries int) string {
+	counts := map[string]int{}
+	for range queries {
+		run.query++
+		arrived := carobthread.QueryArrived{Query: run.query, Service: "matching"}
+		for _, action := range run.core.Step(carobthread.Event{At: run.now, Query: &arrived}) {
+			if action.Send != nil {
+				_, replica, _ := strings.Cut(action.Send.Searcher, "-")
+				counts["dc"+replica]++
+				reply := replyTo(action.Send)
+				run.core.Step(carobthread.Event{At: run.now, Reply: &reply})
+			}
+		}
+	}
+	return fmt.Sprintln(counts)
+}
+
 func replyTo(send *carobthread.SendAttempt) carobthread.ReplyArrived {
 	return carobthread.ReplyArrived{
 		Query: send.Query, Attempt: send.Attempt, Shard: send.Shard, Snapshot: max(1, send.Snapshot),
--- a/gatherer/stats.go
+++ b/gatherer/stats.go
@@ -6,7 +6,7 @@
 	"carobthread"
 )
 
-// Stats holds the gatherer's counters since its start; the last three fields are gauges.
+// Stats holds the gatherer's counters since its start; the last four fields are gauges.
 type Stats struct {
 	// FirstAttempts, Hedges, Retries and Moves count the attempts sent by kind; all but first attempts are extra load.
 	FirstAttempts uint64 `json:"first-attempts"`
@@ -47,6 +47,8 @@
 	QueriesInProgress int `json:"queries-in-progress"`
 	AttemptsInFlight  int `json:"attempts-in-flight"`
 	AttemptsWaiting   int `json:"attempts-waiting"`
+	// SearchersEvacuated is the number of searchers that are sent nothing because their data centre is evacuated.
+	SearchersEvacuated int `json:"searchers-evacuated"`
 }
 
 // Extra returns the number of attempts sent beyond the first of each shard.
@@ -61,6 +63,11 @@
 	for _, row := range gatherer.waitingShards {
 		stats.AttemptsWaiting += len(row.waiting)
 	}
+	for _, searcher := range gatherer.searcherList {
+		if searcher.known && searcher.evacuated {
+			stats.SearchersEvacuated++
+		}
+	}
 	return stats
 }
 
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -140,6 +140,10 @@
 
 	draining  bool
 	drainedAt carobthread.Instant
+	// evacuated is set once the evacuation of the searcher's data centre is complete; evacuationEndedAt is when the last one
+	// was withdrawn, or 0.
+	evacuated         bool
+	evacuationEndedAt carobthread.Instant
 
 	// failureRate is the moving average of the share of attempts that the searcher failed or refused, failureRateAt the
 	// time of its last sample.
@@ -177,7 +181,10 @@
 }
 
 // usable reports whether the searcher may be sent new attempts at all.
-func (searcher *searcherRow) usable() bool {
+func (searcher *searcherRow) usable() bool { return searcher.staying() && !searcher.evacuated }
+
+// staying reports whether the searcher is configured and doesn't leave.
+func (searcher *searcherRow) staying() bool {
 	return searcher.known && !searcher.draining && !searcher.config.Leaving
 }
 
--- a/internal/standin/http_searcher.go
+++ b/internal/standin/http_searcher.go
@@ -48,6 +48,7 @@
 	rejecting             atomic.Bool
 	serviceTime           atomic.Int64
 	requestsWhileDraining atomic.Int64
+	requests              atomic.Int64
 	stop                  chan struct{}
 	heartbeats            sync.WaitGroup
 
@@ -132,6 +133,12 @@
 	return searcher.requestsWhileDraining.Load()
 }
 
+// Requests returns the number of requests that have arrived.
+func (searcher *HTTPSearcher) Requests() int64 { return searcher.requests.Load() }
+
+// DataCentre returns the searcher's data centre.
+func (searcher *HTTPSearcher) DataCentre() string { return searcher.options.DataCentre }
+
 // PauseHeartbeats stops or resumes the heartbeats.
 func (searcher *HTTPSearcher) PauseHeartbeats(paused bool) { searcher.heartbeatsPaused.Store(paused) }
 
@@ -181,6 +188,7 @@
 
 // ServeHTTP runs one request and sets the signature header of the response to the request ID, the group and the searcher ID.
 func (searcher *HTTPSearcher) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	searcher.requests.Add(1)
 	names := &searcher.options.Headers
 	id := request.Header.Get(names.RequestID)
 	writer.Header().Set(names.RequestID, id)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -117,6 +117,12 @@
 	return nil
 }
 
+// Evacuate writes the operator's request to evacuate a data centre.
+func (store *Store) Evacuate(dataCentre string) { store.Put("op/evacuate/"+dataCentre, []byte("{}")) }
+
+// EndEvacuation withdraws the request to evacuate a data centre.
+func (store *Store) EndEvacuation(dataCentre string) { store.Remove("op/evacuate/" + dataCentre) }
+
 // Remove removes an item and returns the revision of its tombstone.
 func (store *Store) Remove(key string) uint64 {
 	return store.write(StoredItem{Key: key, Tombstone: true})
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -95,6 +95,7 @@
 		"store": {
 			required("address", address(&settings.Store.Address)),
 			optional("freshness", duration(&settings.Store.Freshness, 500*time.Millisecond, time.Minute)),
+			optional("evacuation-bound", duration(&settings.Store.EvacuationBound, 500*time.Millisecond, time.Minute)),
 		},
 		"forward": {
 			optional("ready-address", listenAddress(&forward.ReadyAddress)),
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -18,6 +18,9 @@
 	hedgeQuantile = 0.9
 	// hedgeDelayDivisor divides the soft deadline; the result is the hedge delay while no latencies are known.
 	hedgeDelayDivisor = 3
+	// evacuationTime is the time in which load moves away from an evacuated data centre. Moving all of it at once would fill
+	// the queues of the other data centres' searchers before they have warmed up.
+	evacuationTime = time.Second
 )
 
 // ServiceName returns the name of the service for a route and a replica group, or for a route over shards if the group is
@@ -38,10 +41,35 @@
 	return fmt.Sprintf("%s@%d", registration.ID, registration.StartedMillis)
 }
 
-// Plan returns the configuration for a routing table and the registered searchers. It depends only on its arguments;
-// searchers of groups that the table does not name are left out.
-func Plan(table *carobthread.RoutingTable, registrations []carobthread.Registration, budget carobthread.RetryBudget) carobthread.Config {
-	config := carobthread.Config{RetryBudget: budget}
+// EvacuationEnd returns the time from which no attempt is sent to a data centre whose evacuation a host has learned of. age
+// is the age that the host's copy of the store had until then and bound the time after the request by which the evacuation
+// must be complete, or 0 without one.
+//
+// Load moves away gradually only if that leaves half of the bound; otherwise all attempts avoid the data centre at once.
+func EvacuationEnd(learnedAt carobthread.Instant, age, bound time.Duration) carobthread.Instant {
+	if age+evacuationTime < bound/2 {
+		return learnedAt.Add(evacuationTime)
+	}
+	return learnedAt
+}
+
+// Input is what a configuration is planned from.
+type Input struct {
+	Table         *carobthread.RoutingTable
+	Registrations []carobthread.Registration
+	Evacuations   []carobthread.Evacuation
+	RetryBudget   carobthread.RetryBudget
+}
+
+// Plan returns the configuration for the input and depends on nothing else; searchers of groups that the table does not name
+// are left out.
+func Plan(input *Input) carobthread.Config {
+	table, registrations := input.Table, input.Registrations
+	config := carobthread.Config{RetryBudget: input.RetryBudget}
+	evacuations := map[string]*carobthread.Evacuation{}
+	for i := range input.Evacuations {
+		evacuations[input.Evacuations[i].DataCentre] = &input.Evacuations[i]
+	}
 	maxConnections := map[string]int{}
 	for _, group := range table.Groups {
 		maxConnections[group.Name] = group.MaxConnections
@@ -64,6 +92,10 @@
 			Leaving:     registration.Draining,
 			Instance:    registration.ID,
 		})
+		if evacuation := evacuations[registration.DataCentre]; evacuation != nil {
+			searcher := &config.Searchers[len(config.Searchers)-1]
+			searcher.Evacuated, searcher.EvacuationStart, searcher.EvacuationEnd = true, evacuation.LearnedAt, evacuation.CompleteAt
+		}
 	}
 	for i := range table.Routes {
 		addRoute(&config, table, &table.Routes[i], searchersByGroup)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -27,7 +27,7 @@
 				}
 				return ""
 			case "plan":
-				config := planner.Plan(&table, parseRegistrations(data.Input), carobthread.RetryBudget{})
+				config := planner.Plan(&planner.Input{Table: &table, Registrations: parseRegistrations(data.Input), Evacuations: parseEvacuations(t, data)})
 				return formatConfig(&config)
 			}
 			data.Fatalf(t, "unknown command %s", data.Cmd)
@@ -36,6 +36,17 @@
 	})
 }
 
+// parseEvacuations returns the evacuation of the data centre that the argument evacuated names, if any.
+func parseEvacuations(t *testing.T, data *datadriven.TestData) []carobthread.Evacuation {
+	t.Helper()
+	if !data.HasArg("evacuated") {
+		return nil
+	}
+	evacuation := carobthread.Evacuation{LearnedAt: 5, CompleteAt: 7}
+	data.ScanArgs(t, "evacuated", &evacuation.DataCentre)
+	return []carobthread.Evacuation{evacuation}
+}
+
 func parseRegistrations(text string) []carobthread.Registration {
 	var registrations []carobthread.Registration
 	for _, line := range strings.Split(text, "\n") {
@@ -63,7 +74,11 @@
 			layout.Generation, layout.Groups, layout.Shards)
 	}
 	for _, searcher := range config.Searchers {
-		fmt.Fprintf(&output, "searcher %s: instance %s, connections %d, leaving %v\n", searcher.Name, searcher.Instance, searcher.Connections, searcher.Leaving)
+		fmt.Fprintf(&output, "searcher %s: instance %s, connections %d, leaving %v", searcher.Name, searcher.Instance, searcher.Connections, searcher.Leaving)
+		if searcher.Evacuated {
+			fmt.Fprintf(&output, ", evacuated from %d to %d", searcher.EvacuationStart, searcher.EvacuationEnd)
+		}
+		output.WriteString("\n")
 	}
 	return output.String()
 }
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -184,10 +184,12 @@
 		Store:    host.store,
 		Logger:   host.logger,
 		Seed:     host.options.Seed,
-		Timing:   server.TimingFor(host.settings.Store.Freshness),
+		Timing:   server.TimingFor(host.settings.Store.MaxCopyAge()),
 		OnChange: host.configure,
-		OnView:   host.setView,
-		Observer: host.search,
+
+		EvacuationBound: host.settings.Store.EvacuationBound,
+		OnView:          host.setView,
+		Observer:        host.search,
 	})
 	handler.PeerHandler = host.directory
 	host.setView(carobthread.View{Self: self.Name, Hosts: []carobthread.Host{self}})
@@ -241,17 +243,18 @@
 
 // configure applies a routing table and the registered searchers; the searchers first, since the router directs requests
 // to them.
-func (host *ForwardingHost) configure(table carobthread.RoutingTable, registrations []carobthread.Registration) {
-	forward := &host.activeSettings.Load().Forward
-	host.search.Configure(planner.Plan(&table, registrations, carobthread.RetryBudget{
-		Ratio: forward.RetryRatio, Slack: forward.RetrySlack, Window: forward.RetryWindow,
+func (host *ForwardingHost) configure(state server.State) {
+	forward, table := &host.activeSettings.Load().Forward, &state.Table
+	host.search.Configure(planner.Plan(&planner.Input{
+		Table: table, Registrations: state.Registrations, Evacuations: state.Evacuations,
+		RetryBudget: carobthread.RetryBudget{Ratio: forward.RetryRatio, Slack: forward.RetrySlack, Window: forward.RetryWindow},
 	}))
 	if table.Version != host.routedVersion {
-		host.forwarder.SetRouter(router.New(&table)) // its weighted shares go on while searchers change
+		host.forwarder.SetRouter(router.New(table)) // its weighted shares go on while searchers change
 		host.routedVersion = table.Version
 	}
 	if !host.ready.Swap(true) {
-		host.logger.Info().Str("event", "ready").Uint64("version", table.Version).Int("searchers", len(registrations)).Msg("ready")
+		host.logger.Info().Str("event", "ready").Uint64("version", table.Version).Int("searchers", len(state.Registrations)).Msg("ready")
 	}
 }
 
--- a/runner/status.go
+++ b/runner/status.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -55,12 +56,35 @@
 	Ready      bool   `json:"ready"`
 	Stopping   bool   `json:"stopping"`
 	// CutOff lists the data centres that do not answer while hosts elsewhere can serve callers better.
-	CutOff    []string              `json:"cut-off,omitempty"`
+	CutOff []string `json:"cut-off,omitempty"`
+	// Evacuated lists the data centres that the operator evacuates.
+	Evacuated []EvacuationStatus    `json:"evacuated,omitempty"`
 	Directory server.DirectoryStats `json:"directory"`
 	Queries   gatherer.Stats        `json:"queries"`
 	Peers     []messenger.Count     `json:"peers"`
 }
 
+// EvacuationStatus is an operator's request to evacuate a data centre.
+type EvacuationStatus struct {
+	DataCentre string `json:"data-centre"`
+	// Revision is the store's revision of the request, LearnedAt the time when this host learned of it.
+	Revision  uint64    `json:"revision"`
+	LearnedAt time.Time `json:"learned-at"`
+	// Complete is set once no attempt is sent there any more.
+	Complete bool `json:"complete"`
+}
+
+func (host *ForwardingHost) evacuations() []EvacuationStatus {
+	var evacuations []EvacuationStatus
+	for _, evacuation := range host.directory.Evacuations() {
+		evacuations = append(evacuations, EvacuationStatus{
+			DataCentre: evacuation.DataCentre, Revision: evacuation.Revision, LearnedAt: evacuation.LearnedAt.Time(),
+			Complete: host.timer.Now() >= evacuation.CompleteAt,
+		})
+	}
+	return evacuations
+}
+
 // Status returns the current state of the host.
 func (host *ForwardingHost) Status() ForwardingStatus {
 	cutOff := host.search.CutOffDataCentres()
@@ -70,6 +94,7 @@
 		Ready:      host.acceptsCallers(cutOff),
 		Stopping:   host.stopping.Load(),
 		CutOff:     cutOff,
+		Evacuated:  host.evacuations(),
 		Directory:  host.directory.Stats(),
 		Queries:    host.search.Stats(),
 		Peers:      host.messenger.Meter().Counts(),
--- a/server/connections.go
+++ b/server/connections.go
@@ -10,7 +10,7 @@
 
 // DepartureHandler is an Upstream that sends no requests to searchers that are leaving.
 type DepartureHandler interface {
-	// SetLeaving sets whether the searcher is leaving; if so, requests that have not been written fail as not run.
+	// SetLeaving sets whether the searcher is leaving or evacuated; if so, requests that have not been written fail as not run.
 	SetLeaving(searcher string, leaving bool)
 	// Forget releases the state of a searcher that is gone.
 	Forget(searcher string)
@@ -22,8 +22,14 @@
 	if !ok {
 		return
 	}
+	search.evacuationDueAt = 0
+	now := search.options.Timer.Now()
 	for name, searcher := range search.searchers {
-		handler.SetLeaving(name, searcher.Leaving)
+		evacuated := searcher.EvacuatedAt(now)
+		handler.SetLeaving(name, searcher.Leaving || evacuated)
+		if searcher.Evacuated && !evacuated && (search.evacuationDueAt == 0 || searcher.EvacuationEnd < search.evacuationDueAt) {
+			search.evacuationDueAt = searcher.EvacuationEnd
+		}
 	}
 	for name := range previous {
 		if _, known := search.searchers[name]; !known {
--- a/server/directory.go
+++ b/server/directory.go
@@ -32,14 +32,23 @@
 	Logger   zerolog.Logger
 	Seed     uint64
 	Timing   Timing
-	// OnChange is called, in order, on each change of the routing table or the searchers once a table is known.
-	OnChange func(table carobthread.RoutingTable, entries []carobthread.Registration)
+	// EvacuationBound is the time after a request to evacuate a data centre by which the evacuation must be complete, or 0.
+	EvacuationBound time.Duration
+	// OnChange is called, in order, on each change of the state once a table is known.
+	OnChange func(state State)
 	// OnView is called with each new view of the entry hosts.
 	OnView func(view carobthread.View)
 	// Observer is the query path, whose observations the hosts of a data centre share; if nil, none are shared.
 	Observer Observer
 }
 
+// State is what a host knows of the platform's store.
+type State struct {
+	Table         carobthread.RoutingTable
+	Registrations []carobthread.Registration
+	Evacuations   []carobthread.Evacuation
+}
+
 // Directory keeps a copy of the store by reading it and by exchanging changes and membership with the other hosts.
 type Directory struct {
 	options DirectoryOptions
@@ -73,6 +82,8 @@
 	aggregatorCursor uint64
 	// observationLimit limits the number of searchers in one observationsMessage.
 	observationLimit int
+	// evacuationEnds holds the end of the transition of each evacuated data centre.
+	evacuationEnds map[string]carobthread.Instant
 	// cutOff is set if any data centre was cut off at the last check.
 	cutOff bool
 	stats  DirectoryStats
@@ -88,6 +99,8 @@
 	Revision        uint64 `json:"revision"`
 	Searchers       int    `json:"searchers"`
 	Hosts           int    `json:"hosts"`
+	// EvacuatedDataCentres is the number of data centres that the operator evacuates.
+	EvacuatedDataCentres int `json:"evacuated-data-centres"`
 	// KnowledgeAgeMicros is the age of the copy of the store, or -1 before the first list.
 	KnowledgeAgeMicros int64 `json:"knowledge-age-us"`
 }
@@ -103,6 +116,8 @@
 		limiter:    logger.NewLimiter(options.Logger, maxLogLinesPerSecond),
 		hostStates: map[string]carobthread.HostState{},
 		aggregator: aggregator.New(),
+
+		evacuationEnds: map[string]carobthread.Instant{},
 	}
 	directory.readJitter = time.Duration(directory.random.Int64N(int64(options.Timing.OtherReadJitter) + 1))
 	directory.applyView(options.Tracker.View())
@@ -151,8 +166,15 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.options.OnView(directory.options.Tracker.View())
+	directory.notifyLocked()
+}
+
+// notifyLocked calls OnChange once a table is known.
+func (directory *Directory) notifyLocked() {
 	if table := directory.options.Follower.Table(); table.Version != 0 {
-		directory.options.OnChange(table, directory.options.Follower.Registrations())
+		directory.options.OnChange(State{
+			Table: table, Registrations: directory.options.Follower.Registrations(), Evacuations: directory.evacuationsLocked(),
+		})
 	}
 }
 
@@ -165,6 +187,7 @@
 	stats.Version, stats.Revision = digest.Version, digest.AsOf
 	stats.Searchers = len(directory.options.Follower.Registrations())
 	stats.Hosts = len(directory.options.Tracker.View().Hosts)
+	stats.EvacuatedDataCentres = len(directory.options.Follower.Evacuations())
 	stats.KnowledgeAgeMicros = -1
 	if directory.syncedAt != 0 {
 		stats.KnowledgeAgeMicros = directory.now().Sub(directory.syncedAt).Microseconds()
@@ -181,8 +204,9 @@
 func (directory *Directory) applyChange(apply func(now carobthread.Instant) follower.Change) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	now := directory.options.Timer.Now()
+	now, age := directory.options.Timer.Now(), directory.copyAgeLocked()
 	change := apply(now)
+	directory.recordEvacuationsLocked(now, age, change.Evacuations)
 	for _, searcherChange := range change.SearcherChanges {
 		if directory.limiter.Allow(now, string(searcherChange.Event)) {
 			directory.options.Logger.Info().Str("event", string(searcherChange.Event)).Str("searcher", searcherChange.Searcher).Str("group", searcherChange.Group).
@@ -203,8 +227,8 @@
 			Msg("routing table active")
 		directory.logIgnoredFields(now, &table)
 	}
-	if table.Version != 0 && (change.Table || change.Searchers) {
-		directory.options.OnChange(table, directory.options.Follower.Registrations())
+	if change.Table || change.Searchers || len(change.Evacuations) > 0 {
+		directory.notifyLocked()
 	}
 }
 
--- a/server/search.go
+++ b/server/search.go
@@ -66,6 +66,8 @@
 	// departures holds the searchers that have said that they leave, with the time of that or of their last configuration.
 	departures map[string]carobthread.Instant
 	running    sync.WaitGroup
+	// evacuationDueAt is when the upstream must next be told of an evacuation that is complete, or 0 without one.
+	evacuationDueAt carobthread.Instant
 
 	scheduled carobthread.Scheduled
 	alarm     carobthread.Alarm
@@ -205,6 +207,9 @@
 // stepLocked sets the event's time, so that times never decrease, steps the core and performs the actions.
 func (search *Search) stepLocked(event carobthread.Event) {
 	event.At = search.options.Timer.Now()
+	if search.evacuationDueAt != 0 && event.At >= search.evacuationDueAt {
+		search.updateLeaving(nil)
+	}
 	for _, action := range search.options.Decider.Step(event) {
 		search.perform(action)
 	}
--- a/server/search_test.go
+++ b/server/search_test.go
@@ -147,6 +147,24 @@
 	assert.Assert(t, !slices.Contains(upstream.forgotten, "stays") && !slices.Contains(upstream.forgotten, "drains"))
 }
 
+// Guards against requests that wait for a connection and are written to a searcher after its evacuation is complete, although
+// no message tells of that moment.
+func TestSearchReportsCompleteEvacuations(t *testing.T) {
+	clock, upstream := timer.NewManual(carobthread.Instant(time.Hour)), &departureRecorder{}
+	core := gatherer.New(1, gatherer.Options{})
+	search := server.NewSearch(server.SearchOptions{Decider: core, QueryCore: core, Timer: clock, Upstream: upstream})
+	defer search.Schedule(core)()
+	search.Configure(carobthread.Config{Searchers: []carobthread.Searcher{
+		{Name: "stays", Slots: 1},
+		{Name: "now", Slots: 1, Evacuated: true, EvacuationEnd: clock.Now()},
+		{Name: "later", Slots: 1, Evacuated: true, EvacuationStart: clock.Now(), EvacuationEnd: clock.Now().Add(900 * time.Millisecond)},
+	}})
+	clock.Advance(899 * time.Millisecond)
+	assert.DeepEqual(t, upstream.leaving, []string{"now"})
+	clock.Advance(time.Millisecond)
+	assert.Assert(t, slices.Contains(upstream.leaving, "later") && !slices.Contains(upstream.leaving, "stays"), "%v", upstream.leaving)
+}
+
 // Guards against a misrouted or duplicate reply that ends up in another caller's answer.
 func TestMisroutedRepliesNeverReachAnotherQuery(t *testing.T) {
 	search := startSearch(t, &misroutingUpstream{random: rand.New(rand.NewPCG(1, 2))})
--- a/settings.go
+++ b/settings.go
@@ -43,6 +43,18 @@
 	// Freshness is the key freshness: the target for the maximum age of a host's copy of the store while the store
 	// responds, default 3s, 500ms to 1m. The intervals of reads and exchanges depend on it.
 	Freshness time.Duration
+	// EvacuationBound is the key evacuation-bound: the time after an operator's request to evacuate a data centre from which
+	// no attempt may reach a searcher there, 500ms to 1m. By default there is no bound; then all attempts avoid the data
+	// centre as soon as the host learns of the request.
+	EvacuationBound time.Duration
+}
+
+// MaxCopyAge returns the maximum age of a host's copy of the store, which the stricter of the two bounds determines.
+func (settings *StoreSettings) MaxCopyAge() time.Duration {
+	if settings.EvacuationBound == 0 {
+		return settings.Freshness
+	}
+	return min(settings.Freshness, settings.EvacuationBound)
 }
 
 // ForwardSettings is section [forward] for plain HTTP forwarding, which is optional.
