State why a missing shard got no further attempt

Cause: in a trace of 9 s, 59 of 71 shards left out of answers had a single attempt and no hedge, and neither log nor counters told which rule kept the hedge back.

Change: the last check of a shard records its cause (attempts in flight, searchers or attempts used up, hedging paused, no replica of a usable class with the class's name, no slot, budget, deadline, not due yet). No decision changes and recorded decisions do not hold it.

--- a/event.go
+++ b/event.go
@@ -233,6 +233,60 @@
 	Missing  []MissingShard `json:"missing,omitempty"`
 }
 
+// BlockCause is why a shard that is missing from an answer got no further attempt.
+type BlockCause uint8
+
+// The causes for which a missing shard got no further attempt.
+const (
+	// BlockedNotChecked means that no time was set after which the last attempt would have counted as late.
+	BlockedNotChecked BlockCause = iota
+	// BlockedNotDue means that the last attempt did not count as late yet.
+	BlockedNotDue
+	// BlockedQueued means that an attempt was waiting for a slot.
+	BlockedQueued
+	// BlockedAtMostOnce means that the request may run at most once.
+	BlockedAtMostOnce
+	// BlockedSearcherLimit means that the request had been sent to as many searchers of the shard as permitted.
+	BlockedSearcherLimit
+	// BlockedInFlightLimit means that as many attempts as permitted were in flight to the shard.
+	BlockedInFlightLimit
+	// BlockedAttemptLimit means that as many attempts as permitted had been sent to the shard.
+	BlockedAttemptLimit
+	// BlockedDeadline means that a further attempt would not have been replied to by the deadline.
+	BlockedDeadline
+	// BlockedPaused means that hedging was paused after a searcher had shed load.
+	BlockedPaused
+	// BlockedNoReplica means that no other replica could be used.
+	BlockedNoReplica
+	// BlockedNoSlot means that the other replicas had no free slot for this host, or their rate limit was used up.
+	BlockedNoSlot
+	// BlockedBudget means that the retry budget was used up.
+	BlockedBudget
+)
+
+// String returns the name of the cause in logs and metrics.
+func (cause BlockCause) String() string {
+	names := [...]string{
+		"not-checked", "not-due", "queued", "at-most-once", "searcher-limit", "in-flight-limit", "attempt-limit", "deadline",
+		"hedging-paused", "no-replica", "no-slot", "budget",
+	}
+	return names[cause]
+}
+
+// MarshalText encodes the cause by its name.
+func (cause BlockCause) MarshalText() ([]byte, error) { return []byte(cause.String()), nil }
+
+// BlockedShard states why a shard that is missing from an answer got no further attempt.
+type BlockedShard struct {
+	Shard uint32     `json:"shard"`
+	Cause BlockCause `json:"cause"`
+	// Class is the rank of the best replica for a further attempt, if the cause depends on it.
+	Class string `json:"class,omitempty"`
+	// Sent counts the attempts sent to the shard, InFlight those of them without a reply.
+	Sent     int `json:"sent"`
+	InFlight int `json:"in-flight"`
+}
+
 // AnswerQuery asks the process to merge the replies of the named attempts and answer the caller.
 type AnswerQuery struct {
 	Query    QueryID  `json:"query"`
@@ -250,6 +304,8 @@
 	NotRun bool `json:"not-run,omitempty"`
 	// RetryAfterMicros is the delay in microseconds after which a retry of a failed query is likely to succeed.
 	RetryAfterMicros int64 `json:"retry-after-us,omitempty"`
+	// Blocked explains the missing shards to operators; it is not part of a recorded decision.
+	Blocked []BlockedShard `json:"-"`
 }
 
 // RefuseQuery asks the process to refuse a query, which has not run.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -73,6 +73,9 @@
 	if answer := record.Answer; answer != nil {
 		line = line.Uint32("shards-answered", answer.Coverage.Answered).Uint32("shards-total", answer.Coverage.Total).
 			Uint32("attempts", answer.Attempts).Bool("not-run", answer.NotRun).Interface("missing", answer.Coverage.Missing)
+		if len(answer.Blocked) > 0 {
+			line = line.Interface("blocked", answer.Blocked)
+		}
 	}
 	line.Msg("request ended")
 }
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -29,6 +29,11 @@
 	if kind != carobthread.AttemptFirst && gatherer.usesCurrentPolicy() {
 		gatherer.refund(query, shard, gatherer.now)
 	}
+	cause := carobthread.BlockedNoReplica
+	if class.waits() {
+		cause = carobthread.BlockedNoSlot
+	}
+	query.current.shards[shard].setBlocked(cause, class)
 	gatherer.closeShard(query, shard, reasonForClass(class))
 }
 
@@ -75,6 +80,7 @@
 	state.reached |= replicaBit(index)
 	state.freeRetry = false
 	state.checkAt = 0
+	state.blocked = carobthread.BlockedNotChecked
 	if delay := service.hedgeDelay(); delay > 0 && gatherer.usesCurrentPolicy() {
 		if state.inFlightCount > 1 && service.latency.median > 0 {
 			// The shard is already late, and with 120 shards one hedge in twenty is late as well.
@@ -129,15 +135,12 @@
 // hedge sends a second or third attempt to a shard whose attempts in flight have exceeded the hedge delay.
 func (gatherer *Gatherer) hedge(query *queryRow, shard uint32) {
 	state := &query.current.shards[shard]
-	service := query.service
 	state.checkAt = 0
 	if query.group(shard) != nil {
 		gatherer.markStalled(state)
 	}
-	if state.inFlightCount >= maxShardInFlight || state.sent >= maxAttempts || state.atSearcherLimit(service) || service.config.AtMostOnce {
-		return
-	}
-	if gatherer.now.Add(service.latency.p10) >= query.deadline {
+	if cause := gatherer.hedgeBlock(query, state); cause != carobthread.BlockedNotChecked {
+		state.setBlocked(cause, classGone)
 		return
 	}
 	kind := carobthread.AttemptHedge
@@ -145,14 +148,20 @@
 		kind = carobthread.AttemptRetry
 	} else if pausedUntil := gatherer.hedgingPausedUntil(query, shard); gatherer.now < pausedUntil {
 		state.checkAt = pausedUntil
+		state.setBlocked(carobthread.BlockedPaused, classGone)
 		return
 	}
 	index, class := gatherer.choose(query, shard)
 	if class > classThrottled {
+		state.setBlocked(carobthread.BlockedNoReplica, class)
 		return
 	}
 	if index < 0 || !gatherer.takeBudget(query, shard, kind) {
 		gatherer.stats.BudgetRefused++
+		state.setBlocked(carobthread.BlockedBudget, class)
+		if index < 0 {
+			state.setBlocked(carobthread.BlockedNoSlot, class)
+		}
 		state.checkAt = gatherer.now.Add(gatherer.budgetRetryDelay(query, shard))
 		return
 	}
@@ -180,6 +189,7 @@
 		return
 	}
 	if gatherer.now >= query.deadline || state.sent >= maxAttempts || query.service.config.AtMostOnce && query.mayHaveRun > 0 {
+		state.setBlocked(gatherer.recoverBlock(query, state), classGone)
 		gatherer.closeShard(query, shard, carobthread.ReasonTimeout)
 		return
 	}
@@ -188,14 +198,17 @@
 	case index >= 0 || class.waits():
 		if !state.freeRetry && !gatherer.takeBudget(query, shard, carobthread.AttemptRetry) {
 			gatherer.stats.BudgetRefused++
+			state.setBlocked(carobthread.BlockedBudget, class)
 			gatherer.checkLater(query, state, gatherer.budgetRetryDelay(query, shard))
 			return
 		}
 		gatherer.dispatch(query, shard, carobthread.AttemptRetry)
 	case class == classTried:
+		state.setBlocked(carobthread.BlockedNoReplica, class)
 		state.tried = 0
 		gatherer.checkLater(query, state, time.Duration(state.sent)*max(pollInterval, query.service.latency.median))
 	default:
+		state.setBlocked(carobthread.BlockedNoReplica, class)
 		gatherer.recoverByMove(query, shard, reasonForClass(class))
 	}
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -89,7 +89,7 @@
 		centres:     map[string]*centreRow{},
 		queries:     map[carobthread.QueryID]*queryRow{},
 		attempts:    map[carobthread.AttemptID]*attemptRow{},
-		stats:       Stats{Refusals: map[carobthread.Reason]uint64{}},
+		stats:       Stats{Refusals: map[carobthread.Reason]uint64{}, BlockedShards: map[carobthread.BlockCause]uint64{}},
 	}
 }
 
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -263,6 +263,7 @@
 			Shard:  uint32(shard),
 			Reason: gatherer.missingReason(state),
 		})
+		gatherer.reportBlocked(answer, query, uint32(shard), state)
 	}
 	if query.service.config.FloorRequired && !query.service.floorMet(chosen) {
 		answer.Failed = true
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -43,6 +43,8 @@
 	now   carobthread.Instant
 	sends map[carobthread.AttemptID]*carobthread.SendAttempt
 	query carobthread.QueryID
+	// blocked explains the missing shards of the last answer.
+	blocked []carobthread.BlockedShard
 }
 
 func (run *script) command(data *datadriven.TestData) string {
@@ -102,6 +104,8 @@
 		return run.step(carobthread.Event{Tick: &carobthread.TickArrived{LateMicros: run.duration(data, "late").Microseconds()}})
 	case "stats":
 		return run.stats()
+	case "blocked":
+		return fmt.Sprintln(run.blocked, run.core.Stats().BlockedShards)
 	}
 	data.Fatalf(run.t, "unknown command %s", data.Cmd)
 	return ""
@@ -285,6 +289,7 @@
 			fmt.Fprintf(&output, "cancel %d\n", action.Cancel.Attempt)
 		case action.Answer != nil:
 			answer := action.Answer
+			run.blocked = answer.Blocked
 			fmt.Fprintf(&output, "answer query %d: %d/%d snapshot %d layout %d merge %v missing %v", answer.Query, answer.Coverage.Answered, answer.Coverage.Total, answer.Snapshot, answer.Layout, answer.Merge, answer.Coverage.Missing)
 			if answer.Failed {
 				fmt.Fprintf(&output, " failed not-run %v", answer.NotRun)
--- a/gatherer/stats.go
+++ b/gatherer/stats.go
@@ -43,6 +43,8 @@
 	// Waited counts the attempts queued for a free slot, and QueueFull those that found the queue full.
 	Waited    uint64 `json:"waited"`
 	QueueFull uint64 `json:"queue-full"`
+	// BlockedShards counts the shards missing from answers by the cause for which they got no further attempt.
+	BlockedShards map[carobthread.BlockCause]uint64 `json:"blocked-shards"`
 
 	QueriesInProgress int `json:"queries-in-progress"`
 	AttemptsInFlight  int `json:"attempts-in-flight"`
@@ -58,6 +60,7 @@
 func (gatherer *Gatherer) Stats() Stats {
 	stats := gatherer.stats
 	stats.Refusals = maps.Clone(stats.Refusals)
+	stats.BlockedShards = maps.Clone(stats.BlockedShards)
 	stats.QueriesInProgress = len(gatherer.queries)
 	stats.AttemptsInFlight = len(gatherer.attempts)
 	for _, row := range gatherer.waitingShards {
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -34,6 +34,9 @@
 	sent             uint8
 	waiting          bool
 	closed           bool
+	// blocked is why the last check of the shard sent no attempt, and blockedClass the best class of its replicas then.
+	blocked      carobthread.BlockCause
+	blockedClass replicaClass
 	// tried has a bit for each replica that was sent an attempt in the current round, reached for each one in any round.
 	tried   uint64
 	reached uint64
