Keep state across a store that comes back from an older copy

A store that came back from an older copy issued revisions again, so hosts refused its answers or took an older state for a newer one. The compressed routing table is cached by version, since a revision no longer names it.

The soak first showed a departed searcher that returned on a host which had learned of it from peers: the copy had a higher sequence number than that host had seen. Departed searchers that a copy lists now stay away until they write again.

Run: go test ./follower ./platform ./server ./planner; TestForwardingEvacuationOutlivesStoreRollback four times: no failures.

--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -468,9 +468,8 @@
 	return requests
 }
 
-// awaitEvacuation waits until every host reports that the evacuation of the data centre is complete, or that there is none
-// if the data centre is empty.
-func (fleet *forwardingSite) awaitEvacuation(t *testing.T, dataCentre string) {
+// awaitStatus waits until the status of every host meets the condition.
+func (fleet *forwardingSite) awaitStatus(t *testing.T, condition func(status *runner.ForwardingStatus) bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, entry := range fleet.processes {
@@ -478,14 +477,8 @@
 			if err != nil {
 				return poll.Error(err)
 			}
-			evacuated := ""
-			for _, evacuation := range status.Evacuated {
-				if evacuation.Complete {
-					evacuated = evacuation.DataCentre
-				}
-			}
-			if evacuated != dataCentre {
-				return poll.Continue("%s reports %+v", entry.name, status.Evacuated)
+			if !condition(&status) {
+				return poll.Continue("%s reports %+v, evacuated %+v", entry.name, status.Directory, status.Evacuated)
 			}
 		}
 		return poll.Success()
@@ -500,26 +493,49 @@
 	return status, errors.Join(json.NewDecoder(response.Body).Decode(&status), response.Body.Close())
 }
 
-// Guards against requests that reach an evacuated data centre, also through a host that restarts while the store refuses
-// it; against lost answers while load moves; and against searchers that are not used again afterwards.
-func TestForwardingEvacuatesDataCentre(t *testing.T) {
+// Guards against requests that reach an evacuated data centre or a searcher that has left: through a host that restarts while
+// the store refuses it, or after the store has come back from an older copy. Also guards against lost answers while load moves,
+// against an older version of the routing table, and against hosts that miss what is written under revisions issued again.
+func TestForwardingEvacuationOutlivesStoreRollback(t *testing.T) {
 	fleet := startForwarding(t)
 	workload := fleet.startLoad()
+	fleet.store.Copy()
+	fleet.config.Version = 5
+	assert.NilError(t, fleet.store.PutConfig(&fleet.config))
 	fleet.store.Evacuate(remoteCentre)
-	fleet.awaitEvacuation(t, remoteCentre)
-	time.Sleep(2 * serviceTime) // requests that are being written arrive
-	before := fleet.remoteRequests()
+	leaving := fleet.ledger[0]
+	leaving.Drain()
+	leaving.PauseHeartbeats(true)
+	fleet.store.Remove("servers/" + leaving.ID())
+	era := uint64(0)
+	evacuated := func(status *runner.ForwardingStatus) bool {
+		return len(status.Evacuated) == 1 && status.Evacuated[0].DataCentre == remoteCentre && status.Evacuated[0].Complete &&
+			status.Directory.Era == era && status.Directory.Version == 5 && status.Directory.Searchers == shardCount*replicaCount+ledgerSearchers-1
+	}
+	fleet.awaitStatus(t, evacuated)
+	time.Sleep(10 * serviceTime) // requests that are being written arrive
+	before, beforeLeaving := fleet.remoteRequests(), leaving.Requests()
 	fleet.store.SetFailure(http.StatusServiceUnavailable, false)
 	entry := fleet.processes[1]
 	assert.NilError(t, entry.command.Process.Kill())
 	<-entry.ended
 	entry.startForwarding(t)
 	fleet.awaitReady(t)
-	time.Sleep(500 * time.Millisecond)
-	assert.Equal(t, fleet.remoteRequests(), before)
+	fleet.store.RollBack()
 	fleet.store.SetFailure(0, false)
+	time.Sleep(time.Second)
+	fleet.store.Evacuate(remoteCentre)
+	era = 1
+	fleet.awaitStatus(t, evacuated)
+	time.Sleep(defaultFreshness)
+	assert.Equal(t, fleet.remoteRequests(), before)
+	assert.Equal(t, leaving.Requests(), beforeLeaving)
+	fleet.config.Version = 6
+	assert.NilError(t, fleet.store.PutConfig(&fleet.config))
 	fleet.store.EndEvacuation(remoteCentre)
-	fleet.awaitEvacuation(t, "")
+	fleet.awaitStatus(t, func(status *runner.ForwardingStatus) bool {
+		return status.Directory.Version == 6 && len(status.Evacuated) == 0
+	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if fleet.remoteRequests() == before {
 			return poll.Continue("the searchers are not used again")
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -81,6 +81,7 @@
 		{"heartbeats-lost", (*soak).loseHeartbeats},
 		{"searcher-leaves", (*soak).drainSearcher},
 		{"data-centre-evacuated", (*soak).evacuate},
+		{"store-rolled-back", (*soak).rollBackStore},
 	}
 }
 
@@ -195,13 +196,15 @@
 }
 
 // evacuate evacuates a data centre and then returns it to service; while no other fault affects hosts or the store, hosts must
-// send it no requests after evacuationBound, and neither may one that is restarted meanwhile and that the store refuses.
-func (run *soak) evacuate(_ *rand.Rand, _ time.Duration) {
+// send it no requests after evacuationBound, and neither may one that is restarted meanwhile and that the store refuses. In half
+// of the cases the store loses the request, and the operator writes it again.
+func (run *soak) evacuate(random *rand.Rand, _ time.Duration) {
 	if !run.faultLock.TryLock() {
 		return
 	}
 	defer run.faultLock.Unlock()
 	time.Sleep(settleTime)
+	run.fleet.store.Copy()
 	run.fleet.store.Evacuate(remoteCentre)
 	time.Sleep(evacuationBound)
 	before := run.fleet.remoteRequests()
@@ -210,6 +213,17 @@
 	_ = entry.command.Process.Kill()
 	<-entry.ended
 	run.restart(entry)
+	if random.IntN(2) == 0 {
+		for deadline := time.Now().Add(recoveryTimeout); !entry.poll() && time.Now().Before(deadline); {
+			time.Sleep(20 * time.Millisecond) // a host that has not heard from a peer has nothing to keep
+		}
+		run.fleet.store.RollBack()
+		run.fleet.store.SetFailure(0, false)
+		time.Sleep(maxFaultDuration / 4)
+		run.fleet.store.Evacuate(remoteCentre)
+		run.publish(0)
+		time.Sleep(maxFaultDuration)
+	}
 	time.Sleep(maxFaultDuration / 4)
 	if received := run.fleet.remoteRequests() - before; assert.Check(run.t, received == 0, "%d requests reached the evacuated data centre", received) {
 		run.t.Logf("the data centre was evacuated and received nothing after %s", evacuationBound)
@@ -367,15 +381,36 @@
 	})
 }
 
+// rollBackStore lets the store fail and come back from an older copy. The searchers and the operator write again what it lost.
+func (run *soak) rollBackStore(random *rand.Rand, duration time.Duration) {
+	run.faultLock.RLock()
+	defer run.faultLock.RUnlock()
+	run.fleet.store.Copy()
+	time.Sleep(duration)
+	run.fleet.store.SetFailure(http.StatusServiceUnavailable, false)
+	time.Sleep(duration / 4)
+	run.fleet.store.RollBack()
+	run.fleet.store.SetFailure(0, false)
+	time.Sleep(time.Duration(random.Int64N(int64(maxFaultDuration))))
+	run.publish(0)
+}
+
 // changeConfiguration publishes a new version that adds its own route to the permanent ones.
 func (run *soak) changeConfiguration(random *rand.Rand, duration time.Duration) {
-	version := <-run.version + uint64(1+random.IntN(3))
+	run.publish(uint64(1 + random.IntN(3)))
+	time.Sleep(duration)
+}
+
+// publish publishes the version that exceeds the newest one by the step.
+func (run *soak) publish(step uint64) {
+	version := <-run.version + step
+	defer func() { run.version <- version }()
 	config := run.fleet.config
-	config.Version = version
-	newest := config.Routes[0]
-	newest.Name, newest.Prefix = fmt.Sprintf("v%d", version), fmt.Sprintf("/v%d/", version)
-	config.Routes = append([]standin.StoredRoute{newest}, config.Routes...)
+	if version > 1 {
+		config.Version = version
+		newest := config.Routes[0]
+		newest.Name, newest.Prefix = fmt.Sprintf("v%d", version), fmt.Sprintf("/v%d/", version)
+		config.Routes = append([]standin.StoredRoute{newest}, config.Routes...)
+	}
 	assert.Check(run.t, run.fleet.store.PutConfig(&config))
-	run.version <- version
-	time.Sleep(duration)
 }
--- a/follower/doc.go
+++ b/follower/doc.go
@@ -4,7 +4,8 @@
 // Follower is a state machine without clock or I/O, with these invariants:
 //
 //   - the version of the routing table never decreases;
-//   - an item or tombstone replaces only an item with a lower revision;
+//   - an item or tombstone replaces only an item with a lower revision of the same
+//     era, or one of an earlier era;
 //   - registrations are kept while the store is unavailable; a removal that the
 //     store reports after an outage takes effect only removalHold after the
 //     store's recovery, since the searchers must first be able to write again;
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,6 +29,10 @@
 	// removeAt is when a held removal takes effect, or 0 without one.
 	removeAt  carobthread.Instant
 	removedAt carobthread.Instant
+	// unlisted is set if the entry is held or was removed only because a new era's copy lacks it, departed if the searcher's
+	// departure is known and a new era's copy lists it.
+	unlisted bool
+	departed bool
 }
 
 // Follower holds this host's copy of the store; it is not safe for concurrent use.
@@ -39,6 +43,9 @@
 	tableSource string
 	entries     map[string]*entry
 	evacuations map[string]*evacuation
+	// era is the store's era of asOf and of all revisions; eraStartedAt is when it began, or 0 if that is unknown.
+	era          uint64
+	eraStartedAt carobthread.Instant
 	// asOf is the store's revision up to which all changes are known, or 0 before the first list.
 	asOf uint64
 	// failedAt is when the last failed call of the store was recorded, or 0 without one.
@@ -62,6 +69,8 @@
 	SearcherChanges []SearcherChange
 	// Evacuations are the requests to evacuate data centres and their withdrawals, in order.
 	Evacuations []EvacuationChange
+	// Era is set if a new era of the store has begun.
+	Era bool
 	// DecodeErrors are the errors of items that could not be decoded.
 	DecodeErrors []error
 }
@@ -92,9 +101,11 @@
 	})
 }
 
-// Digest states which version of the routing table and which revision of the store a host knows.
+// Digest states which version of the routing table and which revision of the store a host knows, and the era of that
+// revision.
 type Digest struct {
 	Version uint64 `json:"version"`
+	Era     uint64 `json:"era,omitempty"`
 	AsOf    uint64 `json:"as-of"`
 }
 
@@ -106,11 +117,15 @@
 	// Items are the entries that changed since the requesting host's revision, or all entries if Whole is set.
 	Items []carobthread.StoreItem `json:"items,omitempty"`
 	Whole bool                    `json:"whole,omitempty"`
+	// Held are items of earlier eras that the era's copy lacks and that the sending host still holds; a host that enters the
+	// era holds them too. EraAgeMicros is how long ago the era began, or 0 if that is unknown.
+	Held         []carobthread.StoreItem `json:"held,omitempty"`
+	EraAgeMicros int64                   `json:"era-age-us,omitempty"`
 }
 
 // Digest returns the digest of this host's copy.
 func (follower *Follower) Digest() Digest {
-	return Digest{Version: follower.table.Version, AsOf: follower.asOf}
+	return Digest{Version: follower.table.Version, Era: follower.era, AsOf: follower.asOf}
 }
 
 // Table returns the routing table; its version is 0 until one is known.
@@ -131,9 +146,22 @@
 	return registrations
 }
 
-// ApplyList applies a complete list of all items.
-func (follower *Follower) ApplyList(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
+// ApplyList applies a complete list of all items, unless it is of an older era.
+func (follower *Follower) ApplyList(now carobthread.Instant, source string, list carobthread.StoreItems) Change {
+	if list.Era < follower.era {
+		return Change{}
+	}
+	newEra := list.Era > follower.era
+	follower.enterEra(now, list.Era)
+	change := follower.applyList(now, source, list.Items, list.AsOf)
+	change.Era = newEra
+	return change
+}
+
+// applyList applies a complete list of the current era.
+func (follower *Follower) applyList(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
 	follower.recordRecovery(now, asOf)
+	follower.asOf = max(follower.asOf, asOf)
 	change := follower.applyItems(now, source, items)
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -142,17 +170,25 @@
 	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
 		stored := follower.entries[key]
 		if !listed[key] && !stored.item.Removed && stored.item.Revision <= asOf {
+			stored.unlisted = follower.inTransition(now) && stored.removeAt == 0
 			follower.remove(now, key, asOf, &change)
 		}
 	}
 	follower.withdrawUnlisted(now, listed, asOf, &change)
-	follower.asOf = max(follower.asOf, asOf)
+	follower.closeTransition(asOf)
 	follower.compactedRevision = max(follower.compactedRevision, asOf)
 	return change
 }
 
-// ApplyChanges applies the changes since the known revision.
-func (follower *Follower) ApplyChanges(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
+// ApplyChanges applies the changes since the known revision, unless they are of another era.
+func (follower *Follower) ApplyChanges(now carobthread.Instant, source string, changes carobthread.StoreItems) Change {
+	if changes.Era != follower.era {
+		return Change{}
+	}
+	return follower.applyChanges(now, source, changes.Items, changes.AsOf)
+}
+
+func (follower *Follower) applyChanges(now carobthread.Instant, source string, items []carobthread.StoreItem, asOf uint64) Change {
 	follower.recordRecovery(now, asOf)
 	change := follower.applyItems(now, source, items)
 	follower.asOf = max(follower.asOf, asOf)
@@ -174,7 +210,16 @@
 //
 // The hold is counted from the store's recovery and not from when the removal is learned, which may itself be late: the
 // sum of the two delays would exceed the bound for leaving searchers.
+//
+// In a new era it is also held until the searchers have had the same time since the era's start.
 func (follower *Follower) holdRemovalUntil(now carobthread.Instant) carobthread.Instant {
+	if follower.inTransition(now) {
+		return max(follower.holdForOutageUntil(now), follower.eraStartedAt.Add(removalHold))
+	}
+	return follower.holdForOutageUntil(now)
+}
+
+func (follower *Follower) holdForOutageUntil(now carobthread.Instant) carobthread.Instant {
 	switch {
 	case follower.failedAt == 0 || now.Sub(follower.failedAt) >= outageWindow:
 		return now
@@ -185,26 +230,35 @@
 }
 
 // DeltaFor returns what a host with the given digest lacks.
-func (follower *Follower) DeltaFor(peerDigest Digest) Delta {
+func (follower *Follower) DeltaFor(now carobthread.Instant, peerDigest Digest) Delta {
 	delta := Delta{Digest: follower.Digest()}
 	if follower.table.Version > peerDigest.Version {
 		delta.Table = &follower.tableItem
 	}
-	if follower.asOf <= peerDigest.AsOf {
+	follower.addHeldEvacuations(now, &delta, peerDigest.Era)
+	if peerDigest.Covers(delta.Digest) {
 		return delta
 	}
-	delta.Whole = peerDigest.AsOf < follower.compactedRevision
+	if peerDigest.Era < follower.era {
+		peerDigest.AsOf = 0
+		delta.Whole = true
+	}
+	delta.Whole = delta.Whole || peerDigest.AsOf < follower.compactedRevision
 	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
 		stored := follower.entries[key]
 		switch {
+		case stored.departed:
+			delta.Items = append(delta.Items, stored.departure())
 		case stored.changedRevision <= peerDigest.AsOf && (!delta.Whole || stored.item.Removed):
+		case stored.removeAt != 0 && delta.Whole && follower.era > 0:
+			delta.Held = append(delta.Held, stored.item)
 		case stored.removeAt != 0: // the other host holds the removal itself if it also lost the store
 			delta.Items = append(delta.Items, carobthread.StoreItem{Key: key, Revision: stored.changedRevision, Removed: true})
 		default:
 			delta.Items = append(delta.Items, stored.item)
 		}
 	}
-	delta.Items = append(delta.Items, follower.evacuationsSince(peerDigest.AsOf, delta.Whole)...)
+	follower.addEvacuations(&delta, peerDigest.AsOf)
 	return delta
 }
 
@@ -214,22 +268,39 @@
 	if delta.Table != nil {
 		items = append(items, *delta.Table)
 	}
-	if delta.AsOf <= follower.asOf {
-		return follower.applyItems(now, source, items)
-	}
-	items = append(items, delta.Items...)
-	if delta.Whole {
-		return follower.ApplyList(now, source, items, delta.AsOf)
+	change := follower.adoptEvacuations(now, &delta)
+	switch {
+	case follower.Digest().Covers(delta.Digest), delta.Era != follower.era && !delta.Whole:
+		change.add(follower.applyItems(now, source, items))
+	case delta.Whole:
+		change.Era = delta.Era > follower.era
+		change.add(follower.enterEraOf(now, source, &delta))
+		change.add(follower.applyList(now, source, append(items, delta.Items...), delta.AsOf))
+	default:
+		change.add(follower.applyChanges(now, source, append(items, delta.Items...), delta.AsOf))
 	}
-	return follower.ApplyChanges(now, source, items, delta.AsOf)
+	return change
+}
+
+// add adds the effects of a later input.
+func (change *Change) add(later Change) {
+	change.Table = change.Table || later.Table
+	change.Searchers = change.Searchers || later.Searchers
+	change.SearcherChanges = append(change.SearcherChanges, later.SearcherChanges...)
+	change.Evacuations = append(change.Evacuations, later.Evacuations...)
+	change.DecodeErrors = append(change.DecodeErrors, later.DecodeErrors...)
 }
 
-// Tick applies held removals that are due and deletes expired tombstones.
-func (follower *Follower) Tick(now carobthread.Instant) Change {
+// Tick applies held removals that are due and deletes expired tombstones. What a new era's copy lacks is removed only once
+// this host's copy of the store, whose age is given, is from after the end of the hold: what was written again in time must
+// be known by then.
+func (follower *Follower) Tick(now carobthread.Instant, copyAge time.Duration) Change {
 	var change Change
+	syncedAt := now.Add(-copyAge)
 	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
 		stored := follower.entries[key]
 		switch {
+		case stored.removeAt != 0 && stored.unlisted && syncedAt < stored.removeAt:
 		case stored.removeAt != 0 && now >= stored.removeAt:
 			stored.markRemoved(now)
 			change.Searchers = true
@@ -239,7 +310,7 @@
 			delete(follower.entries, key)
 		}
 	}
-	follower.expireWithdrawals(now)
+	follower.tickEvacuations(now, syncedAt, &change)
 	return change
 }
 
@@ -273,6 +344,7 @@
 	}
 	if item.Removed {
 		follower.remove(now, item.Key, item.Revision, change)
+		follower.rememberRemoved(now, &item)
 		return
 	}
 	stored := follower.entries[item.Key]
@@ -287,7 +359,8 @@
 	if err != nil {
 		change.DecodeErrors = append(change.DecodeErrors, err)
 	}
-	if valid && stored.supersedes(&registration) {
+	if valid && (stored.supersedes(&registration) || follower.departedBefore(stored, &registration)) {
+		follower.keepNewer(now, stored, &item, &registration)
 		return
 	}
 	differs := stored.item.Removed || valid != stored.valid || !sameState(stored.registration, registration)
@@ -298,7 +371,7 @@
 	case stored.item.Removed || stored.item.Revision == 0 || registration.StartedMillis != stored.registration.StartedMillis:
 		event = SearcherSeen
 	}
-	recreated := item.Created > stored.item.Revision
+	recreated := item.Created > stored.item.Revision || follower.isFromEarlierEra(stored)
 	stored.item = item
 	stored.valid = valid
 	if valid {
@@ -309,13 +382,25 @@
 	if differs || stored.removeAt != 0 || recreated {
 		stored.changedRevision = item.Revision
 	}
-	stored.removeAt = 0
+	stored.removeAt, stored.unlisted, stored.departed = 0, false, false
 	if differs {
 		change.Searchers = true
 		change.addSearcherChange(event, stored)
 	}
 }
 
+// rememberRemoved keeps the last heartbeat of an unknown searcher from a tombstone that carries it.
+func (follower *Follower) rememberRemoved(now carobthread.Instant, item *carobthread.StoreItem) {
+	if len(item.Content) == 0 || follower.entries[item.Key] != nil {
+		return
+	}
+	live := *item
+	live.Removed = false
+	if registration, isEntry, err := follower.decoder.Registration(live); isEntry && err == nil {
+		follower.entries[item.Key] = &entry{item: *item, changedRevision: item.Revision, registration: registration, removedAt: now}
+	}
+}
+
 // remove removes a searcher at once, or at the end of the hold if the removal may be caused by an outage of the store.
 func (follower *Follower) remove(now carobthread.Instant, key string, revision uint64, change *Change) {
 	stored := follower.entries[key]
@@ -351,7 +436,7 @@
 		return true
 	case latest.StartedMillis == 0 && other.Sequence <= maxRestartSequence:
 		return false
-	case stored.item.Removed || stored.removeAt != 0:
+	case (stored.item.Removed || stored.removeAt != 0) && !stored.unlisted:
 		return other.Sequence <= latest.Sequence
 	}
 	return other.Sequence < latest.Sequence
@@ -368,8 +453,7 @@
 }
 
 func (stored *entry) markRemoved(now carobthread.Instant) {
-	stored.item.Removed = true
-	stored.item.Content = nil
+	stored.item.Removed = true // the content stays, so that a host that restarts recognizes an old heartbeat in a later era
 	stored.removeAt = 0
 	stored.removedAt = now
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -19,7 +19,7 @@
 //
 // Each line of input is an item, "KEY REVISION VALUE". The value is "-" for a tombstone, "vN" for a routing table with that
 // version, "ready" or "draining" for an entry in that state, optionally followed by "sequence=N born=N" or "created=N", and
-// otherwise the raw content.
+// otherwise the raw content. The input of "run" has one command a line, with its items after " : " and separated by commas.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		run := &script{now: carobthread.Instant(time.Hour)}
@@ -37,38 +37,54 @@
 // deltaFor returns what the named host lacks, as the other one computes it.
 func (run *script) deltaFor(name string) follower.Delta {
 	other := run.hosts[map[string]string{"a": "b", "b": "a"}[name]]
-	return other.DeltaFor(run.hosts[name].Digest())
+	return other.DeltaFor(run.now, run.hosts[name].Digest())
 }
 
 func (run *script) reset() {
 	run.hosts = map[string]*follower.Follower{"a": follower.New(platform.Decoder{}), "b": follower.New(platform.Decoder{})}
 }
 
+// commands runs the commands of one script and returns their numbered results.
+func (run *script) commands(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	output := strings.Builder{}
+	for i, line := range strings.Split(data.Input, "\n") {
+		line, items, _ := strings.Cut(line, " : ")
+		command := &datadriven.TestData{Pos: data.Pos, Input: strings.ReplaceAll(items, ", ", "\n")}
+		var err error
+		command.Cmd, command.CmdArgs, err = datadriven.ParseLine(line)
+		assert.NilError(t, err)
+		if result := run.command(t, command); result != "" {
+			fmt.Fprintf(&output, "%d %s", i+1, result)
+		}
+	}
+	return output.String()
+}
+
 func (run *script) command(t *testing.T, data *datadriven.TestData) string {
 	var change follower.Change
-	name, after := "a", "0s"
-	asOf := 0
+	name := "a"
+	asOf, era := 0, 0
 	data.MaybeScanArgs(t, "host", &name)
-	data.MaybeScanArgs(t, "after", &after)
 	data.MaybeScanArgs(t, "as-of", &asOf)
-	delay, err := time.ParseDuration(after)
-	if err != nil {
-		data.Fatalf(t, "%v", err)
-	}
-	run.now = run.now.Add(delay)
+	data.MaybeScanArgs(t, "era", &era)
+	run.now = run.now.Add(run.duration(t, data, "after"))
 	host := run.hosts[name]
 	switch data.Cmd {
 	case "new":
 		run.reset()
 		return ""
+	case "run":
+		run.reset()
+		return run.commands(t, data)
 	case "list":
-		change = host.ApplyList(run.now, "store", parseItems(t, data), uint64(asOf))
+		change = host.ApplyList(run.now, "store", carobthread.StoreItems{Items: parseItems(t, data), AsOf: uint64(asOf), Era: uint64(era)})
 	case "watch":
-		change = host.ApplyChanges(run.now, "store", parseItems(t, data), uint64(asOf))
+		change = host.ApplyChanges(run.now, "store", carobthread.StoreItems{Items: parseItems(t, data), AsOf: uint64(asOf), Era: uint64(era)})
 	case "fail":
 		host.RecordFailure(run.now)
 	case "tick":
-		change = host.Tick(run.now)
+		change = host.Tick(run.now, run.duration(t, data, "age"))
 	case "sync": // the other host sends the named one what it lacks
 		change = host.ApplyDelta(run.now, "peer", run.deltaFor(name))
 	case "prepare": // the other host computes what the named one lacks, which arrives late
@@ -84,6 +100,15 @@
 	return formatState(host, change)
 }
 
+func (*script) duration(t *testing.T, data *datadriven.TestData, key string) time.Duration {
+	t.Helper()
+	text := "0s"
+	data.MaybeScanArgs(t, key, &text)
+	duration, err := time.ParseDuration(text)
+	assert.NilError(t, err)
+	return duration
+}
+
 func parseItems(t *testing.T, data *datadriven.TestData) []carobthread.StoreItem {
 	t.Helper()
 	var items []carobthread.StoreItem
--- a/forwarding.go
+++ b/forwarding.go
@@ -123,7 +123,9 @@
 type StoreItems struct {
 	Items []StoreItem
 	AsOf  uint64
-	More  bool
+	// Era rises each time that the store comes back from an older copy; revisions are comparable only within one era.
+	Era  uint64
+	More bool
 }
 
 // Store is a read-only client of the platform's store.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -28,11 +29,20 @@
 	items         map[string]StoredItem
 	history       []StoredItem
 	changed       chan struct{}
+	era           uint64
+	copied        storeCopy
 	failureStatus int
 	hanging       bool
 	calls         int
 }
 
+// storeCopy is a copy of a store's items and changes at one revision.
+type storeCopy struct {
+	revision uint64
+	items    map[string]StoredItem
+	history  []StoredItem
+}
+
 // StoredItem is an item in the encoding of the platform's protocol.
 type StoredItem struct {
 	Key       string `json:"key"`
@@ -136,6 +146,23 @@
 	store.failureStatus, store.hanging = status, hanging
 }
 
+// Copy keeps a copy of the items for RollBack.
+func (store *Store) Copy() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.copied = storeCopy{revision: store.revision, items: maps.Clone(store.items), history: slices.Clone(store.history)}
+}
+
+// RollBack replaces the items by the last copy and begins a new era, in which revisions after the copy are issued again.
+func (store *Store) RollBack() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.era++
+	store.revision, store.items, store.history = store.copied.revision, maps.Clone(store.copied.items), slices.Clone(store.copied.history)
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
 // Calls returns the number of calls so far.
 func (store *Store) Calls() int {
 	store.mutex.Lock()
@@ -197,6 +224,7 @@
 		}
 	}
 	revision := store.revision
+	store.stateEraLocked(writer)
 	store.mutex.Unlock()
 	slices.SortFunc(found, func(left, right StoredItem) int { return strings.Compare(left.Key, right.Key) })
 	more := len(found) > pageSize
@@ -213,7 +241,7 @@
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
 	for {
-		events, revision, changed, compacted := store.changesSince(after, query.Get("prefix"))
+		events, revision, changed, compacted := store.changesSince(after, query.Get("prefix"), writer)
 		if compacted {
 			writer.WriteHeader(http.StatusGone)
 			return
@@ -234,11 +262,12 @@
 }
 
 // changesSince returns the changes after a revision, the store's revision and a channel that the next change closes.
-// compacted is set if the history no longer covers the revision.
-func (store *Store) changesSince(after uint64, prefix string) (events []StoredItem, revision uint64, changed <-chan struct{}, compacted bool) {
+// compacted is set if the history doesn't cover the revision. The era of the changes is stated in the response's header.
+func (store *Store) changesSince(after uint64, prefix string, writer http.ResponseWriter) (events []StoredItem, revision uint64, changed <-chan struct{}, compacted bool) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if len(store.history) > 0 && store.history[0].Revision > after+1 && after < store.revision {
+	store.stateEraLocked(writer)
+	if after > store.revision || len(store.history) > 0 && store.history[0].Revision > after+1 && after < store.revision {
 		return nil, 0, nil, true
 	}
 	for _, item := range store.history {
@@ -249,6 +278,13 @@
 	return events, store.revision, store.changed, false
 }
 
+// stateEraLocked states the era in a response; a store that has never rolled back states none.
+func (store *Store) stateEraLocked(writer http.ResponseWriter) {
+	if store.era > 0 {
+		writer.Header().Set(platform.EraHeader, strconv.FormatUint(store.era, 10))
+	}
+}
+
 func writeJSON(writer http.ResponseWriter, body any) {
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(body) // the caller may have disconnected
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
 
 	"carobthread"
 	"carobthread/planner"
@@ -82,3 +84,12 @@
 	}
 	return output.String()
 }
+
+// Guards against load that moves gradually past the bound because the host learned of the request late, or not at all.
+func TestEvacuationEnd(t *testing.T) {
+	const learnedAt = carobthread.Instant(time.Hour)
+	for age, gradual := range map[time.Duration]bool{0: true, 1499 * time.Millisecond: true, 1500 * time.Millisecond: false, 24 * time.Hour: false} {
+		assert.Equal(t, planner.EvacuationEnd(learnedAt, age, 5*time.Second) > learnedAt, gradual, "%v", age)
+	}
+	assert.Equal(t, planner.EvacuationEnd(learnedAt, 0, 0), learnedAt, "without a bound")
+}
--- a/server/compress.go
+++ b/server/compress.go
@@ -48,20 +48,21 @@
 
 // compressedTable caches the compressed form of one version of the routing table, which is sent to many hosts.
 type compressedTable struct {
-	revision   uint64
+	version    uint64
 	compressed []byte
 }
 
-// get returns the compressed form of the table's item and caches it.
-func (cache *compressedTable) get(item *carobthread.StoreItem) ([]byte, error) {
-	if cache.compressed != nil && cache.revision == item.Revision {
+// get returns the compressed form of the item of the table with the version and caches it. The item's revision doesn't
+// identify it, since the store may issue it again in a later era.
+func (cache *compressedTable) get(version uint64, item *carobthread.StoreItem) ([]byte, error) {
+	if cache.compressed != nil && cache.version == version {
 		return cache.compressed, nil
 	}
 	compressed, err := compressItems([]carobthread.StoreItem{*item})
 	if err != nil {
 		return nil, err
 	}
-	cache.revision, cache.compressed = item.Revision, compressed
+	cache.version, cache.compressed = version, compressed
 	return compressed, nil
 }
 
@@ -69,18 +70,26 @@
 func (message *exchangeMessage) compress(cache *compressedTable) error {
 	delta, err := message.Delta, error(nil)
 	if delta.Table != nil {
-		if message.Table, err = cache.get(delta.Table); err != nil {
+		if message.Table, err = cache.get(delta.Version, delta.Table); err != nil {
 			return err
 		}
 		delta.Table = nil
 	}
-	if len(delta.Items) >= minCompressItems {
-		if message.Items, err = compressItems(delta.Items); err != nil {
-			return err
-		}
-		delta.Items = nil
+	if message.Items, err = compressLong(&delta.Items); err != nil {
+		return err
 	}
-	return nil
+	message.Held, err = compressLong(&delta.Held)
+	return err
+}
+
+// compressLong returns the compressed form of a long list and empties the list; it returns nil for a short list.
+func compressLong(items *[]carobthread.StoreItem) ([]byte, error) {
+	if len(*items) < minCompressItems {
+		return nil, nil
+	}
+	compressed, err := compressItems(*items)
+	*items = nil
+	return compressed, err
 }
 
 // decompress restores the compressed routing table and entries in the delta.
@@ -95,12 +104,14 @@
 		}
 		message.Delta.Table = &items[0]
 	}
+	var err error
 	if message.Items != nil {
-		items, err := decompressItems(message.Items)
-		if err != nil {
+		if message.Delta.Items, err = decompressItems(message.Items); err != nil {
 			return err
 		}
-		message.Delta.Items = items
 	}
-	return nil
+	if message.Held != nil {
+		message.Delta.Held, err = decompressItems(message.Held)
+	}
+	return err
 }
--- a/server/compress_test.go
+++ b/server/compress_test.go
@@ -33,18 +33,20 @@
 		delta.Items = append(delta.Items, carobthread.StoreItem{Key: fmt.Sprintf("servers/%d", i), Revision: uint64(i), Content: []byte("\xff" + `{"service":"a"}`)})
 	}
 	items := delta.Items
+	delta.Held = items[:200]
 	message := &exchangeMessage{Delta: &delta}
 	cache := &compressedTable{}
 	assert.NilError(t, message.compress(cache))
-	assert.Assert(t, delta.Table == nil && delta.Items == nil)
+	assert.Assert(t, delta.Table == nil && delta.Items == nil && delta.Held == nil)
 	transferSeconds := float64(hosts*len(message.Table)) / linkBytesPerSecond
 	assert.Check(t, transferSeconds < maxTransferSeconds, "%d bytes of %d take %.1f s", len(message.Table), len(table.Content), transferSeconds)
-	cachedTable, err := cache.get(table)
+	cachedTable, err := cache.get(delta.Version, table)
 	assert.NilError(t, err)
 	assert.Assert(t, &cachedTable[0] == &message.Table[0], "the table is compressed only once per version")
 	assert.NilError(t, message.decompress())
 	assert.DeepEqual(t, message.Delta.Table, table)
 	assert.DeepEqual(t, message.Delta.Items, items)
+	assert.DeepEqual(t, message.Delta.Held, items[:200])
 }
 
 // Guards against invalid compressed data from a peer that crashes the process or changes its state.
--- a/server/directory.go
+++ b/server/directory.go
@@ -96,9 +96,11 @@
 	Exchanges       uint64 `json:"exchanges"`
 	ExchangesFailed uint64 `json:"exchanges-failed"`
 	Version         uint64 `json:"version"`
-	Revision        uint64 `json:"revision"`
-	Searchers       int    `json:"searchers"`
-	Hosts           int    `json:"hosts"`
+	// Era is the era of Revision; it rises each time that the store comes back from an older copy.
+	Era       uint64 `json:"era"`
+	Revision  uint64 `json:"revision"`
+	Searchers int    `json:"searchers"`
+	Hosts     int    `json:"hosts"`
 	// EvacuatedDataCentres is the number of data centres that the operator evacuates.
 	EvacuatedDataCentres int `json:"evacuated-data-centres"`
 	// KnowledgeAgeMicros is the age of the copy of the store, or -1 before the first list.
@@ -184,7 +186,7 @@
 	defer directory.mutex.Unlock()
 	stats := directory.stats
 	digest := directory.options.Follower.Digest()
-	stats.Version, stats.Revision = digest.Version, digest.AsOf
+	stats.Version, stats.Era, stats.Revision = digest.Version, digest.Era, digest.AsOf
 	stats.Searchers = len(directory.options.Follower.Registrations())
 	stats.Hosts = len(directory.options.Tracker.View().Hosts)
 	stats.EvacuatedDataCentres = len(directory.options.Follower.Evacuations())
@@ -197,7 +199,9 @@
 
 // applyHeldRemovals applies the held removals of searchers that are due.
 func (directory *Directory) applyHeldRemovals() {
-	directory.applyChange(func(now carobthread.Instant) follower.Change { return directory.options.Follower.Tick(now) })
+	directory.applyChange(func(now carobthread.Instant) follower.Change {
+		return directory.options.Follower.Tick(now, directory.copyAgeLocked())
+	})
 }
 
 // applyChange applies a change to the follower, logs its effects and reports a new table or searchers to OnChange.
@@ -206,6 +210,11 @@
 	defer directory.mutex.Unlock()
 	now, age := directory.options.Timer.Now(), directory.copyAgeLocked()
 	change := apply(now)
+	if change.Era {
+		digest := directory.options.Follower.Digest()
+		directory.options.Logger.Info().Str("event", "store-era-changed").Uint64("era", digest.Era).Uint64("revision", digest.AsOf).
+			Int64("knowledge-age-us", age.Microseconds()).Msg("the store has begun a new era; its items were listed again")
+	}
 	directory.recordEvacuationsLocked(now, age, change.Evacuations)
 	for _, searcherChange := range change.SearcherChanges {
 		if directory.limiter.Allow(now, string(searcherChange.Event)) {
--- a/server/exchanges.go
+++ b/server/exchanges.go
@@ -41,6 +41,7 @@
 	// Table and Items are the compressed forms of the fields of Delta that are left out for them.
 	Table []byte `json:"table,omitempty"`
 	Items []byte `json:"items,omitempty"`
+	Held  []byte `json:"held,omitempty"`
 	// Observations is set between a host and the reader of its data centre.
 	Observations *observationsMessage `json:"pool,omitempty"`
 }
@@ -94,7 +95,7 @@
 	directory.applyChange(func(now carobthread.Instant) follower.Change {
 		// A peer that lacks revisions of this host can't have synced later, whatever age it states: its process may have
 		// been paused since.
-		if answer.AgeMicros > 0 && answer.Delta.AsOf >= directory.options.Follower.Digest().AsOf {
+		if answer.AgeMicros > 0 && answer.Delta.Covers(directory.options.Follower.Digest()) {
 			age := time.Duration(answer.AgeMicros) * time.Microsecond
 			directory.syncedAt = max(directory.syncedAt, started.Add(-age))
 		}
@@ -174,7 +175,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.stepTrackerLocked(tracker.Event{Received: &tracker.GossipReceived{From: peer, Locality: tracker.SameDataCentre, Gossip: request.Gossip}})
-	delta := directory.options.Follower.DeltaFor(request.Digest)
+	delta := directory.options.Follower.DeltaFor(directory.options.Timer.Now(), request.Digest)
 	answer := exchangeMessage{Delta: &delta, Digest: delta.Digest, Observations: directory.handleObservationsLocked(peer, request.Observations)}
 	if directory.syncedAt != 0 {
 		answer.AgeMicros = max(1, directory.now().Sub(directory.syncedAt).Microseconds())
--- a/server/store_reads.go
+++ b/server/store_reads.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"carobthread"
@@ -169,46 +170,68 @@
 		return directory.list(ctx, started)
 	}
 	directory.mutex.Lock()
-	after := directory.options.Follower.Digest().AsOf
+	known := directory.options.Follower.Digest()
 	wait := catchUpWatch
 	if directory.roleLocked() == roleFleetReader {
 		wait = fleetReaderWatch
 	}
 	directory.mutex.Unlock()
-	changes, err := directory.options.Store.Watch(ctx, after, wait)
-	if err != nil {
+	changes, err := directory.options.Store.Watch(ctx, known.AsOf, wait)
+	switch {
+	case err != nil:
 		return err
+	case changes.Era > known.Era: // the changes may lack some of the new era, whose revisions are others
+		return directory.list(ctx, started)
+	case changes.Era < known.Era:
+		return &carobthread.StoreError{Call: "watch", Status: http.StatusOK, Cause: errOlderEra}
 	}
 	directory.applyChange(func(now carobthread.Instant) follower.Change {
-		directory.syncedAt = max(directory.syncedAt, started)
-		return directory.options.Follower.ApplyChanges(now, "store", changes.Items, changes.AsOf)
+		if changes.Era == directory.options.Follower.Digest().Era { // a peer may have told of a new era meanwhile
+			directory.syncedAt = max(directory.syncedAt, started)
+		}
+		return directory.options.Follower.ApplyChanges(now, "store", changes)
 	})
 	return nil
 }
 
+// errOlderEra is returned for a response of an older era of the store than one that other hosts have seen, and errNewEra for
+// pages of a list that belong to different eras.
+var (
+	errOlderEra = errors.New("the response is of an older era of the store")
+	errNewEra   = errors.New("the store began a new era while it was listed")
+)
+
 // list reads all pages; the next watch starts at the first page's revision, so it returns the changes made meanwhile.
 func (directory *Directory) list(ctx context.Context, started carobthread.Instant) error {
-	var items []carobthread.StoreItem
-	var asOf uint64
+	var list carobthread.StoreItems
 	after := ""
 	for {
 		page, err := directory.options.Store.List(ctx, "", after)
 		if err != nil {
 			return err
 		}
-		if asOf == 0 {
-			asOf = page.AsOf
+		if list.AsOf == 0 {
+			list.AsOf, list.Era = page.AsOf, page.Era
+		}
+		if page.Era != list.Era {
+			return &carobthread.StoreError{Call: "list", Status: http.StatusOK, HistoryGone: true, Cause: errNewEra}
 		}
-		items = append(items, page.Items...)
+		list.Items = append(list.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			break
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	older := false
 	directory.applyChange(func(now carobthread.Instant) follower.Change {
-		directory.syncedAt = max(directory.syncedAt, started)
-		return directory.options.Follower.ApplyList(now, "store", items, asOf)
+		if older = list.Era < directory.options.Follower.Digest().Era; !older {
+			directory.syncedAt = max(directory.syncedAt, started)
+		}
+		return directory.options.Follower.ApplyList(now, "store", list)
 	})
+	if older {
+		return &carobthread.StoreError{Call: "list", Status: http.StatusOK, Cause: errOlderEra}
+	}
 	return nil
 }
 
