--- a/server/directory_test.go
+++ b/server/directory_test.go
@@ -489,3 +489,52 @@
 	assert.Assert(t, errors.As(err, &failure))
 	assert.Equal(t, failure.Reason, carobthread.ReasonUnknownService)
 }
+
+// Guards against a host that the store refuses, or that has restarted since, and that misses an evacuation or its withdrawal;
+// against one that serves before it knows of them; and against one that moves load gradually although its copy is old.
+func TestDirectoryEvacuatesThroughPeers(t *testing.T) {
+	store, client := startStore(t)
+	store.Put("op/config", []byte(`{"version":1}`))
+	clock, fleet := timer.NewManual(carobthread.At(time.Unix(1, 0))), &directoryFleet{hosts: map[string]*server.Directory{}}
+	start := func(name string, ownStore carobthread.Store) *server.Directory {
+		self := carobthread.Host{Name: name, DataCentre: "dc", PeerAddress: name, Incarnation: carobthread.Incarnation{Start: clock.Now()}}
+		directory := server.NewDirectory(server.DirectoryOptions{
+			Self: self, Contacts: []string{"reader"}, Follower: follower.New(platform.Decoder{}), Tracker: tracker.New(self, nil, clock.Now(), 1),
+			Timer: clock, Peers: &directCaller{fleet: fleet, host: name}, Store: ownStore, Logger: zerolog.Nop(), Timing: server.TimingFor(testFreshness),
+			EvacuationBound: 5 * time.Second, OnView: func(carobthread.View) {},
+			OnChange: func(state server.State) {
+				if name == "restarted" {
+					assert.Check(t, len(state.Evacuations) == 1, "serves without the evacuation")
+				}
+			},
+		})
+		fleet.mutex.Lock()
+		fleet.hosts[name] = directory
+		fleet.mutex.Unlock()
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { directory.Run(ctx) })
+		t.Cleanup(func() { cancel(); running.Wait() })
+		return directory
+	}
+	refusing := &storeClient{store: &fakeStore{refused: map[string]bool{"refused": true}}, host: "refused"}
+	reader, refused := start("reader", client), start("refused", refusing)
+	advanceUntil(t, clock, func() bool { return reader.Stats().Version == 1 && refused.Stats().Version == 1 })
+	store.Put("op/evacuate/north", []byte("{}"))
+	evacuated := func(directory *server.Directory) bool {
+		evacuations := directory.Evacuations()
+		return len(evacuations) == 1 && evacuations[0].DataCentre == "north"
+	}
+	advanceUntil(t, clock, func() bool { return evacuated(reader) && evacuated(refused) })
+	complete := refused.Evacuations()[0]
+	assert.Equal(t, complete.CompleteAt.Sub(complete.LearnedAt), time.Second)
+	restarted := start("restarted", refusing)
+	advanceUntil(t, clock, func() bool { return evacuated(restarted) })
+	complete = restarted.Evacuations()[0]
+	assert.Equal(t, complete.CompleteAt, complete.LearnedAt)
+	fleet.mutex.Lock()
+	delete(fleet.hosts, "restarted") // its later states have no evacuation
+	fleet.mutex.Unlock()
+	store.Remove("op/evacuate/north")
+	advanceUntil(t, clock, func() bool { return len(refused.Evacuations()) == 0 })
+}
