Limit what cold searchers receive from all hosts together

Cause: a searcher that has just started crashes if it receives well over coldPerS requests a second. Hosts read the rest of its cold time but sent it as much as any other.

Change: services carry coldStartS and coldPerS; the settings cold-over and cold-slack give the limit for any one second. The first few hosts in a searcher's rendezvous order share half of the limit, each with an equal number of requests in any 1.25 s; all others send it nothing. Attempts go to other replicas and wait for a share only if there is none. At the end of the cold time the in-flight limit restarts at one. Without coldPerS nothing differs.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -115,6 +115,23 @@
 	return heaviest(assigner.all, roleKey("holder", searcher), size)
 }
 
+// IsHolder reports whether the host is among the first size hosts in the order of Holders. It needs no list of them, so that a
+// host can ask for each of tens of thousands of searchers.
+func (assigner *Assigner) IsHolder(host, searcher string, size int) bool {
+	key := roleKey("holder", searcher)
+	own := weightedMember{name: host, weight: weight(key, xxhash.Sum64String(host))}
+	before := 0
+	for _, entry := range assigner.all {
+		if before >= size {
+			break
+		}
+		if heavierFirst(weightedMember{name: entry.name, weight: weight(key, entry.hash)}, own) < 0 {
+			before++
+		}
+	}
+	return before < size
+}
+
 func (assigner *Assigner) centre(name string) *Centre {
 	for i := range assigner.centres {
 		if assigner.centres[i].Name == name {
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -48,6 +48,8 @@
 		moved := 0
 		for searcher := range searchers {
 			name := fmt.Sprintf("s%d", searcher)
+			host := fmt.Sprintf("h%03d", searcher%hosts)
+			assert.Assert(t, full.IsHolder(host, name, subsetSize) == slices.Contains(full.Holders(name, subsetSize), host), "%s of %s", host, name)
 			lost := removed(full.Holders(name, subsetSize), reduced.Holders(name, subsetSize))
 			assert.Assert(t, len(lost) == 0 || slices.Equal(lost, []string{leaving}), "%s: %v", name, lost)
 			moved += len(lost)
--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -44,6 +44,11 @@
 	ledgerSearchers = 4
 	// evacuationBound is the time after a request to evacuate a data centre by which no attempt may reach it.
 	evacuationBound = 5 * time.Second
+	// coldTime is how long a searcher is cold, coldRate the requests per second that it takes meanwhile, and coldLimit the limit
+	// that follows by the default rule.
+	coldTime  = time.Second
+	coldRate  = 10.0
+	coldLimit = coldRate*1.5 + 5
 )
 
 // The hosts and most searchers are in homeCentre, the last searcher of each group in remoteCentre.
@@ -128,13 +133,13 @@
 		}
 		searcher, err := standin.NewHTTPSearcher(standin.HTTPSearcherOptions{
 			ID: fmt.Sprintf("%s-%d", name, index), Group: name, DataCentre: dataCentre, Slots: searcherSlots, ServiceTime: serviceTime,
-			Records: records, Headers: platform.Headers(), Store: fleet.store, BehindProxy: true,
+			Records: records, Headers: platform.Headers(), Store: fleet.store, BehindProxy: true, ColdTime: coldTime,
 		})
 		assert.NilError(t, err)
 		t.Cleanup(func() { assert.Check(t, searcher.Close()) })
 		searchers = append(searchers, searcher)
 	}
-	fleet.config.Services = append(fleet.config.Services, standin.StoredService{Name: name, MaxConns: 50})
+	fleet.config.Services = append(fleet.config.Services, standin.StoredService{Name: name, MaxConns: 50, ColdStartS: coldTime.Seconds(), ColdPerS: coldRate})
 	return searchers
 }
 
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -176,8 +176,8 @@
 	proxy.Set(standin.ProxyPass, 0)
 }
 
-// drainSearcher drains a searcher and then returns it to service; while no other fault affects hosts or the store, hosts
-// must send it no requests after drainBound.
+// drainSearcher drains a searcher and then returns it to service as newly started; while no other fault affects hosts or the
+// store, hosts must send it no requests after drainBound, and together at most coldLimit in a second while it is cold.
 func (run *soak) drainSearcher(random *rand.Rand, _ time.Duration) {
 	if !run.faultLock.TryLock() {
 		return
@@ -193,6 +193,10 @@
 		run.t.Logf("%s drained and received nothing after %s", searcher.ID(), drainBound)
 	}
 	searcher.Reregister()
+	time.Sleep(coldTime)
+	if most := searcher.MostWhileCold(); assert.Check(run.t, most <= coldLimit, "%s received %d requests in a second while it was cold", searcher.ID(), most) {
+		run.t.Logf("%s received at most %d requests in a second while it was cold", searcher.ID(), most)
+	}
 }
 
 // evacuate evacuates a data centre and then returns it to service; while no other fault affects hosts or the store, hosts must
--- a/config.go
+++ b/config.go
@@ -76,6 +76,29 @@
 	EvacuationEnd   Instant `json:"evacuation-end,omitempty"`
 	// Instance identifies the only process that may run a request, for searchers whose addresses are reused.
 	Instance string `json:"instance,omitempty"`
+	// Cold states what is known of the searcher's cold time; the zero value sets no limit.
+	Cold ColdState `json:"cold,omitzero"`
+}
+
+// ColdState states how much a searcher can take while it is cold, and until when it is.
+type ColdState struct {
+	// Limit is the number of requests that the searcher may receive in any second from all hosts together; 0 means that it
+	// needs no protection.
+	Limit float64 `json:"limit"`
+	// Span is how long the searcher stays cold after its start.
+	Span time.Duration `json:"span"`
+	// Started is the time of the searcher's start by its own clock, or 0 if not stated.
+	Started Instant `json:"started,omitempty"`
+	// Left is the rest of the cold time that the searcher stated in its heartbeat with this sequence number.
+	Left      time.Duration `json:"left,omitempty"`
+	Heartbeat int64         `json:"heartbeat,omitempty"`
+}
+
+// ColdRule states by how much a cold searcher's requests in any one second may exceed the number that it can take.
+type ColdRule struct {
+	// Over is the factor, Slack the number of requests in addition.
+	Over  float64
+	Slack float64
 }
 
 // EvacuatedAt reports whether the evacuation of the searcher's data centre is complete, so that it is sent nothing more.
--- a/event.go
+++ b/event.go
@@ -172,6 +172,7 @@
 	Answer  *AnswerQuery    `json:"answer,omitempty"`
 	Refuse  *RefuseQuery    `json:"refuse,omitempty"`
 	Connect *SetConnections `json:"connect,omitempty"`
+	Cold    *ColdChanged    `json:"cold,omitempty"`
 }
 
 // AttemptKind states why an attempt was sent.
@@ -337,6 +338,15 @@
 	Count    int    `json:"count"`
 }
 
+// ColdChanged reports that a searcher has become cold, or warm if the time left is 0, as far as this host knows.
+type ColdChanged struct {
+	Searcher   string `json:"searcher"`
+	LeftMicros int64  `json:"left-us"`
+	// Share is the number of requests that this host may send the searcher in any Window, or 0 for none.
+	Share        int   `json:"share,omitempty"`
+	WindowMicros int64 `json:"window-us,omitempty"`
+}
+
 // Decider is the core of the query path.
 type Decider interface {
 	// Step processes one event and returns the resulting actions in the order of execution.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,6 +17,9 @@
 	outageWindow = 5 * time.Second
 	// tombstoneTTL is how long removals are kept for hosts that missed them.
 	tombstoneTTL = time.Minute
+	// coldTolerance is how much later the end of a searcher's cold time must be than known before for a change; heartbeats of the
+	// same cold time arrive with different delays.
+	coldTolerance = 500 * time.Millisecond
 )
 
 // entry is the latest item of one key.
@@ -33,6 +36,8 @@
 	// departure is known and a new era's copy lists it.
 	unlisted bool
 	departed bool
+	// coldUntil is the latest end of the searcher's cold time that has been reported as a change, or 0.
+	coldUntil carobthread.Instant
 }
 
 // Follower holds this host's copy of the store; it is not safe for concurrent use.
@@ -363,7 +368,8 @@
 		follower.keepNewer(now, stored, &item, &registration)
 		return
 	}
-	differs := stored.item.Removed || valid != stored.valid || !sameState(stored.registration, registration)
+	end := coldUntil(now, &registration)
+	differs := stored.item.Removed || end > stored.coldUntil.Add(coldTolerance) || valid != stored.valid || !sameState(stored.registration, registration)
 	event := SearcherChanged
 	switch {
 	case registration.Draining && !stored.registration.Draining:
@@ -384,6 +390,7 @@
 	}
 	stored.removeAt, stored.unlisted, stored.departed = 0, false, false
 	if differs {
+		stored.coldUntil = end
 		change.Searchers = true
 		change.addSearcherChange(event, stored)
 	}
@@ -401,6 +408,14 @@
 	}
 }
 
+// coldUntil returns the latest end of the cold time that a registration received now states, or 0 if it states none.
+func coldUntil(now carobthread.Instant, registration *carobthread.Registration) carobthread.Instant {
+	if registration.WarmUpLeft == 0 {
+		return 0
+	}
+	return now.Add(registration.WarmUpLeft)
+}
+
 // remove removes a searcher at once, or at the end of the hold if the removal may be caused by an outage of the store.
 func (follower *Follower) remove(now carobthread.Instant, key string, revision uint64, change *Change) {
 	stored := follower.entries[key]
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -140,13 +140,17 @@
 	return items
 }
 
-// heartbeat returns the content of an entry for "STATE [sequence=N born=N]". By default, the sequence number is the
+// heartbeat returns the content of an entry for "STATE [sequence=N born=N] [cold=MS]". By default, the sequence number is the
 // revision and the start time is not stated.
 func heartbeat(text string, revision uint64) []byte {
 	state, rest, _ := strings.Cut(text, " ")
 	sequence, startedMillis := revision, uint64(0)
 	_, _ = fmt.Sscanf(rest, "sequence=%d born=%d", &sequence, &startedMillis)
-	content := fmt.Sprintf(`{"service":"one","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"coldLeftMs":0,"state":%q,"sequence":%d`, state, sequence)
+	coldLeft := 0
+	if _, cold, found := strings.Cut(rest, "cold="); found {
+		_, _ = fmt.Sscan(cold, &coldLeft)
+	}
+	content := fmt.Sprintf(`{"service":"one","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"coldLeftMs":%d,"state":%q,"sequence":%d`, coldLeft, state, sequence)
 	if startedMillis != 0 {
 		content += fmt.Sprintf(`,"born":%d`, startedMillis)
 	}
--- a/forwarding.go
+++ b/forwarding.go
@@ -69,6 +69,10 @@
 	Name string
 	// MaxConnections is the number of connections that each searcher accepts from all callers together.
 	MaxConnections int
+	// ColdStart is how long a searcher stays cold after its start.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that a cold searcher can take, or 0 for no limit.
+	ColdRate float64
 }
 
 // ClientLimits bounds the size and the duration of callers' requests.
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -73,6 +73,7 @@
 	replica.inFlight++
 	replica.searcher.limit.Start()
 	replica.searcher.rate.Take(gatherer.now)
+	gatherer.countCold(replica.searcher)
 	state.inFlightAttempts[state.inFlightCount] = attempt
 	state.inFlightCount++
 	state.sent++
@@ -152,7 +153,7 @@
 		return
 	}
 	index, class := gatherer.choose(query, shard)
-	if class > classThrottled {
+	if class > classThrottled && class != classCold {
 		state.setBlocked(carobthread.BlockedNoReplica, class)
 		return
 	}
--- a/gatherer/backpressure.go
+++ b/gatherer/backpressure.go
@@ -65,7 +65,7 @@
 		if !searcher.usable() {
 			continue
 		}
-		wait := max(0, searcher.pausedUntil.Sub(gatherer.now), searcher.rate.Wait(gatherer.now))
+		wait := max(0, searcher.pausedUntil.Sub(gatherer.now), searcher.rate.Wait(gatherer.now), gatherer.coldWait(searcher))
 		if !found || wait < least {
 			least, found = wait, true
 		}
@@ -76,7 +76,7 @@
 // updateBackpressured determines whether any searcher asks its callers for less than usual.
 func (gatherer *Gatherer) updateBackpressured() {
 	gatherer.backpressured = slices.ContainsFunc(gatherer.searcherList, func(searcher *searcherRow) bool {
-		return searcher.rateLimit > 0 || gatherer.now < searcher.pausedUntil
+		return searcher.rateLimit > 0 || gatherer.now < searcher.pausedUntil || searcher.cold.until != 0
 	})
 }
 
@@ -88,7 +88,10 @@
 	}
 	bySlots := float64(searcher.limit.Limit()) * float64(time.Second) / gatherer.expectedLatency(replica)
 	if searcher.rate.Limited() {
-		return min(bySlots, searcher.rate.PerSecond())
+		bySlots = min(bySlots, searcher.rate.PerSecond())
+	}
+	if searcher.cold.until != 0 {
+		bySlots = min(bySlots, gatherer.coldPerSecond(searcher))
 	}
 	return bySlots
 }
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -33,6 +33,8 @@
 	classSilent
 	// classEjected is used only if no replica of a better class is left.
 	classEjected
+	// classCold has just started and may take no request of this host now; the attempt waits.
+	classCold
 	// classTried was sent an attempt in the current round, or would exceed the number of searchers that the query may be sent
 	// to for the shard. No attempt is sent to a replica of this or a later class.
 	classTried
@@ -47,13 +49,15 @@
 // String returns the name of the class in logs.
 func (class replicaClass) String() string {
 	names := [...]string{
-		"local", "remote", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "tried", "lacks-snapshot", "lacks-layout", "evacuated", "gone",
+		"local", "remote", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "cold", "tried", "lacks-snapshot", "lacks-layout", "evacuated", "gone",
 	}
 	return names[class]
 }
 
 // waits reports whether an attempt waits until a replica of the class can take it.
-func (class replicaClass) waits() bool { return class == classSaturated || class == classThrottled }
+func (class replicaClass) waits() bool {
+	return class == classSaturated || class == classThrottled || class == classCold
+}
 
 const (
 	// reportAge is how long a searcher's reported health and load are used to break ties.
@@ -211,6 +215,8 @@
 		return classTried
 	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].atSearcherLimit(query.service):
 		return classTried
+	case gatherer.coldBlocked(searcher):
+		return classCold
 	case gatherer.throttled(searcher):
 		return classThrottled
 	case !replica.row.free():
@@ -303,6 +309,11 @@
 	}
 	latency *= 1 + failureCost*replica.searcher.recentFailureRate(gatherer.now)
 	limit := &replica.searcher.limit
+	if replica.searcher.config.Cold.Limit > 0 && limit.Starting() && limit.Running() == 0 {
+		// Relative to a limit of one, an idle searcher would look as loaded as a full one, get no requests and never leave slow
+		// start.
+		return latency / float64(limit.Slots())
+	}
 	return latency * float64(limit.Running()+1) / float64(limit.Limit())
 }
 
@@ -368,7 +379,7 @@
 // reasonForClass returns the reason to report for a shard whose best replica class cannot be used.
 func reasonForClass(class replicaClass) carobthread.Reason {
 	switch class {
-	case classSaturated, classThrottled:
+	case classSaturated, classThrottled, classCold:
 		return carobthread.ReasonNoSlot
 	case classLacksSnapshot:
 		return carobthread.ReasonSnapshotMissing
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -37,6 +37,7 @@
 	gatherer.linkShards()
 	gatherer.capEjections()
 	gatherer.configured = true
+	gatherer.emitColdChanges()
 	gatherer.connect()
 	gatherer.runTimers()
 	gatherer.sendAllWaiting()
@@ -51,7 +52,8 @@
 	}
 	for _, searcher := range searchers {
 		row := gatherer.searchers[searcher.Name]
-		if row == nil {
+		isNew := row == nil
+		if isNew {
 			row = &searcherRow{limit: limiter.NewInFlight(searcher.Slots)}
 			if gatherer.configured && gatherer.usesCurrentPolicy() {
 				row.limit.Restart()
@@ -62,6 +64,7 @@
 		if row.config.Leaving && !searcher.Leaving && gatherer.usesCurrentPolicy() {
 			row.limit.Restart()
 		}
+		gatherer.recordCold(row, &searcher, isNew)
 		gatherer.recordRestored(row, &searcher)
 		row.config = searcher
 		row.centre = gatherer.centre(searcher.DataCentre)
@@ -295,6 +298,7 @@
 func (gatherer *Gatherer) view(view *carobthread.View) {
 	live := 0
 	gatherer.self = view.Self
+	gatherer.seen.record(gatherer.now, view)
 	for _, host := range view.Hosts {
 		if host.Name == view.Self {
 			gatherer.dataCentre = host.DataCentre
@@ -379,6 +383,7 @@
 			return false
 		}
 		gatherer.emitConnect(searcher, 0)
+		searcher.cold.until = min(searcher.cold.until, gatherer.now)
 		delete(gatherer.searchers, searcher.config.Name)
 		return true
 	})
--- a/gatherer/evacuation.go
+++ b/gatherer/evacuation.go
@@ -52,7 +52,6 @@
 	if !searcher.config.Evacuated || config.Evacuated {
 		return
 	}
-	searcher.evacuationEndedAt = gatherer.now
 	if gatherer.usesCurrentPolicy() {
 		searcher.limit.Restart()
 		searcher.centre.reply(gatherer.now)
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -14,6 +14,8 @@
 	// OriginalPolicy selects the project's original policy as a baseline: the less loaded of two random replicas by attempts in
 	// flight, up to two retries per shard without a budget and no hedging.
 	OriginalPolicy bool `json:"first-policy,omitempty"`
+	// MinHosts is the least number of hosts to divide the limits of cold searchers by, such as the number named in the settings.
+	MinHosts int `json:"min-hosts,omitempty"`
 }
 
 // Gatherer is the state machine of the query path; it is not safe for concurrent use.
@@ -49,6 +51,11 @@
 	remote      remoteView
 	// backpressured is set while any searcher asks its callers for less than usual; it may be set for a second too long.
 	backpressured bool
+	// coldSearchers are the searchers that are cold; the first coldReported of them have been reported.
+	coldSearchers []*searcherRow
+	coldReported  int
+	// seen are the hosts that may send to cold searchers.
+	seen seenHosts
 	// nextGroupSweepAt is when unused replica groups are next removed.
 	nextGroupSweepAt carobthread.Instant
 	// planEpoch is incremented whenever an input of the query plans changes.
@@ -106,6 +113,7 @@
 		gatherer.completeEvacuations()
 		gatherer.sendAllWaiting()
 	}
+	gatherer.endCold()
 	switch {
 	case event.Query != nil:
 		gatherer.runTimers()
--- a/gatherer/rate_limit_test.go
+++ b/gatherer/rate_limit_test.go
@@ -53,13 +53,7 @@
 	simulated := &limitedFleet{
 		random: rand.New(rand.NewPCG(1, 1)), now: limitedFleetStart, queriesPerSecond: queriesPerSecond, limit: limit, arrivals: map[string][]time.Duration{},
 	}
-	config := fleet(1, 8)
-	for i := range config.Searchers {
-		config.Searchers[i].Connections = connections
-	}
-	config.RetryBudget = carobthread.RetryBudget{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
-	config.Services[0].FloorRequired = true
-	config.Layouts[0].Groups = []string{"group"}
+	config := limitedConfig(connections)
 	for host := range queriesPerSecond {
 		view := carobthread.View{Self: fmt.Sprint("host-", host)}
 		for other := range queriesPerSecond {
@@ -73,6 +67,17 @@
 	return simulated
 }
 
+func limitedConfig(connections int) carobthread.Config {
+	config := fleet(1, 8)
+	for i := range config.Searchers {
+		config.Searchers[i].Connections = connections
+	}
+	config.RetryBudget = carobthread.RetryBudget{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	config.Services[0].FloorRequired = true
+	config.Layouts[0].Groups = []string{"group"}
+	return config
+}
+
 // run advances the fleet by a span in steps of a millisecond.
 func (simulated *limitedFleet) run(span time.Duration) {
 	for end := simulated.now.Add(span); simulated.now < end; simulated.now = simulated.now.Add(time.Millisecond) {
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -173,6 +173,16 @@
 			searcher.Evacuated, searcher.EvacuationStart, searcher.EvacuationEnd = true, run.now, run.now.Add(run.duration(data, "over"))
 		}
 	}
+	if data.HasArg("cold-limit") { // cold=NAME+NAME are the searchers that have cold-left by their heartbeat.
+		coldNames := strings.Split(run.text(data, "cold", ""), "+")
+		for i := range config.Searchers {
+			cold := carobthread.ColdState{Limit: float64(run.number(data, "cold-limit", 0)), Span: 3 * time.Second, Started: 1, Heartbeat: 1}
+			if slices.Contains(coldNames, config.Searchers[i].Name) {
+				cold.Left, cold.Heartbeat = run.duration(data, "cold-left"), int64(run.number(data, "heartbeat", 1))
+			}
+			config.Searchers[i].Cold = cold
+		}
+	}
 	for _, name := range strings.Split(run.text(data, "drop", ""), "+") {
 		config = withoutSearcher(config, name)
 	}
@@ -299,6 +309,8 @@
 			fmt.Fprintf(&output, "refuse query %d: %s retry after %d us\n", action.Refuse.Query, action.Refuse.Reason, action.Refuse.RetryAfterMicros)
 		case action.Connect != nil:
 			fmt.Fprintf(&connects, " %s=%d", action.Connect.Searcher, action.Connect.Count)
+		case action.Cold != nil:
+			fmt.Fprintf(&output, "cold %s left %d us share %d\n", action.Cold.Searcher, action.Cold.LeftMicros, action.Cold.Share)
 		}
 	}
 	if connects.Len() > 0 {
--- a/gatherer/stats.go
+++ b/gatherer/stats.go
@@ -51,6 +51,8 @@
 	AttemptsWaiting   int `json:"attempts-waiting"`
 	// SearchersEvacuated is the number of searchers that are sent nothing because their data centre is evacuated.
 	SearchersEvacuated int `json:"searchers-evacuated"`
+	// ColdSearchers counts the searchers that are cold.
+	ColdSearchers int `json:"cold-searchers"`
 }
 
 // Extra returns the number of attempts sent beyond the first of each shard.
@@ -63,6 +65,7 @@
 	stats.BlockedShards = maps.Clone(stats.BlockedShards)
 	stats.QueriesInProgress = len(gatherer.queries)
 	stats.AttemptsInFlight = len(gatherer.attempts)
+	stats.ColdSearchers = len(gatherer.coldSearchers)
 	for _, row := range gatherer.waitingShards {
 		stats.AttemptsWaiting += len(row.waiting)
 	}
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -135,6 +135,7 @@
 	// pausedUntil is the end of the time for which the searcher wants no requests of this host.
 	pausedUntil     carobthread.Instant
 	rate            limiter.Rate
+	cold            coldTime
 	ejection        limiter.Ejection
 	connectionShare limiter.ConnectionShare
 	servedShards    []*shardRow
@@ -143,10 +144,8 @@
 
 	draining  bool
 	drainedAt carobthread.Instant
-	// evacuated is set once the evacuation of the searcher's data centre is complete; evacuationEndedAt is when the last one
-	// was withdrawn, or 0.
-	evacuated         bool
-	evacuationEndedAt carobthread.Instant
+	// evacuated is set once the evacuation of the searcher's data centre is complete.
+	evacuated bool
 
 	// failureRate is the moving average of the share of attempts that the searcher failed or refused, failureRateAt the
 	// time of its last sample.
--- a/internal/standin/http_searcher.go
+++ b/internal/standin/http_searcher.go
@@ -31,6 +31,8 @@
 	Store   *Store
 	// BehindProxy puts a Proxy between the callers and the searcher.
 	BehindProxy bool
+	// ColdTime is how long the searcher states that it is cold after its start.
+	ColdTime time.Duration
 }
 
 // HTTPSearcher is a fake searcher that serves plain forwarded HTTP requests and registers itself in a Store.
@@ -54,6 +56,8 @@
 
 	mutex sync.Mutex
 	runs  map[string]int // by request ID
+	// coldArrivals holds the times of the requests that have arrived while the searcher was cold.
+	coldArrivals []time.Time
 }
 
 // NewHTTPSearcher starts a searcher on a free loopback port and registers it.
@@ -142,6 +146,25 @@
 // PauseHeartbeats stops or resumes the heartbeats.
 func (searcher *HTTPSearcher) PauseHeartbeats(paused bool) { searcher.heartbeatsPaused.Store(paused) }
 
+// MostWhileCold returns the highest number of requests that have arrived in any one second while the searcher was cold.
+func (searcher *HTTPSearcher) MostWhileCold() int {
+	searcher.mutex.Lock()
+	defer searcher.mutex.Unlock()
+	most, first := 0, 0
+	for last, at := range searcher.coldArrivals {
+		for at.Sub(searcher.coldArrivals[first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// coldLeft returns the rest of the cold time.
+func (searcher *HTTPSearcher) coldLeft() time.Duration {
+	return max(0, searcher.options.ColdTime-time.Since(time.UnixMilli(searcher.startedMillis.Load())))
+}
+
 // Close stops the searcher and removes its registration.
 func (searcher *HTTPSearcher) Close() error {
 	close(searcher.stop)
@@ -179,7 +202,7 @@
 	}
 	content, err := json.Marshal(map[string]any{
 		"service": searcher.options.Group, "address": searcher.address, "zone": searcher.options.DataCentre, "version": "v1",
-		"slots": searcher.options.Slots, "state": state, "coldLeftMs": 0, "sequence": searcher.sequence.Add(1), "born": searcher.startedMillis.Load(),
+		"slots": searcher.options.Slots, "state": state, "coldLeftMs": searcher.coldLeft().Milliseconds(), "sequence": searcher.sequence.Add(1), "born": searcher.startedMillis.Load(),
 	})
 	if err == nil {
 		searcher.options.Store.Put("servers/"+searcher.options.ID, content)
@@ -199,6 +222,11 @@
 	if searcher.draining.Load() {
 		searcher.requestsWhileDraining.Add(1)
 	}
+	if searcher.coldLeft() > 0 {
+		searcher.mutex.Lock()
+		searcher.coldArrivals = append(searcher.coldArrivals, time.Now())
+		searcher.mutex.Unlock()
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -87,6 +87,9 @@
 type StoredService struct {
 	Name     string `json:"name"`
 	MaxConns int    `json:"maxConns"`
+
+	ColdStartS float64 `json:"coldStartS,omitempty"`
+	ColdPerS   float64 `json:"coldPerS,omitempty"`
 }
 
 // NewStore starts an empty store on a free loopback port.
--- a/limiter/inflight.go
+++ b/limiter/inflight.go
@@ -47,6 +47,9 @@
 // Slots returns the upper bound of the limit.
 func (limit *InFlight) Slots() int { return limit.slots }
 
+// Starting reports whether slow start is in progress.
+func (limit *InFlight) Starting() bool { return limit.slowStart }
+
 // Running returns how many requests are in flight.
 func (limit *InFlight) Running() int { return limit.running }
 
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -24,6 +24,8 @@
 	maxStopDuration    = time.Hour
 	maxRetryRatio      = 10
 	maxRetrySlack      = 1e6
+	maxColdOver        = 100
+	maxColdSlack       = 1e6
 	maxProcessors      = 1024
 	minMemory          = 16 * megabyte
 	maxMemory          = 1 << 40
@@ -45,7 +47,7 @@
 			KeyExpiry:      10 * time.Minute,
 		},
 		Store:   carobthread.StoreSettings{Freshness: 3 * time.Second},
-		Forward: carobthread.ForwardSettings{RetryRatio: 0.2, RetryWindow: 10 * time.Second},
+		Forward: carobthread.ForwardSettings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5},
 		Stop:    carobthread.StopSettings{Grace: 3 * time.Second, Limit: 30 * time.Second},
 		Log:     carobthread.LogSettings{Level: "info"},
 	}
@@ -102,6 +104,8 @@
 			optional("retry-ratio", share(&forward.RetryRatio, 0, maxRetryRatio)),
 			optional("retry-slack", share(&forward.RetrySlack, 0, maxRetrySlack)),
 			optional("retry-window", duration(&forward.RetryWindow, 100*time.Millisecond, 10*time.Minute)),
+			optional("cold-over", share(&forward.ColdOver, 1, maxColdOver)),
+			optional("cold-slack", share(&forward.ColdSlack, 0, maxColdSlack)),
 		},
 		"runtime": {
 			optional("processors", roundedDown(&runtime.Processors, 1, maxProcessors)),
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	// evacuationTime is the time in which load moves away from an evacuated data centre. Moving all of it at once would fill
 	// the queues of the other data centres' searchers before they have warmed up.
 	evacuationTime = time.Second
+	// maxStartMillis is the first start, in Unix milliseconds, that an Instant can't represent.
+	maxStartMillis = math.MaxInt64 / int64(time.Millisecond)
+	microsPerMilli = 1000
 )
 
 // ServiceName returns the name of the service for a route and a replica group, or for a route over shards if the group is
@@ -59,6 +63,7 @@
 	Registrations []carobthread.Registration
 	Evacuations   []carobthread.Evacuation
 	RetryBudget   carobthread.RetryBudget
+	ColdRule      carobthread.ColdRule
 }
 
 // Plan returns the configuration for the input and depends on nothing else; searchers of groups that the table does not name
@@ -70,14 +75,14 @@
 	for i := range input.Evacuations {
 		evacuations[input.Evacuations[i].DataCentre] = &input.Evacuations[i]
 	}
-	maxConnections := map[string]int{}
+	groups := map[string]carobthread.ReplicaGroup{}
 	for _, group := range table.Groups {
-		maxConnections[group.Name] = group.MaxConnections
+		groups[group.Name] = group
 	}
 	searchersByGroup := map[string][]string{}
 	for i := range registrations {
 		registration := &registrations[i]
-		limit, known := maxConnections[registration.Group]
+		group, known := groups[registration.Group]
 		if !known {
 			continue
 		}
@@ -88,9 +93,10 @@
 			Address:     registration.Address,
 			DataCentre:  registration.DataCentre,
 			Slots:       registration.Slots,
-			Connections: limit,
+			Connections: group.MaxConnections,
 			Leaving:     registration.Draining,
 			Instance:    registration.ID,
+			Cold:        coldState(&group, registration, input.ColdRule),
 		})
 		if evacuation := evacuations[registration.DataCentre]; evacuation != nil {
 			searcher := &config.Searchers[len(config.Searchers)-1]
@@ -103,6 +109,24 @@
 	return config
 }
 
+// coldState returns what a registration and its group state of the searcher's cold time, or the zero value if a cold searcher
+// of the group needs no protection.
+func coldState(group *carobthread.ReplicaGroup, registration *carobthread.Registration, rule carobthread.ColdRule) carobthread.ColdState {
+	if group.ColdRate <= 0 {
+		return carobthread.ColdState{}
+	}
+	state := carobthread.ColdState{
+		Limit:     group.ColdRate*rule.Over + rule.Slack,
+		Span:      group.ColdStart,
+		Left:      registration.WarmUpLeft,
+		Heartbeat: registration.Sequence,
+	}
+	if registration.StartedMillis > 0 && registration.StartedMillis < maxStartMillis {
+		state.Started = carobthread.FromMicros(registration.StartedMillis * microsPerMilli)
+	}
+	return state
+}
+
 func addRoute(config *carobthread.Config, table *carobthread.RoutingTable, route *carobthread.Route, searchersByGroup map[string][]string) {
 	if len(route.Shards) > 0 {
 		addService(config, table, route, ServiceName(route.Name, ""), route.Shards, searchersByGroup)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -29,7 +29,7 @@
 				}
 				return ""
 			case "plan":
-				config := planner.Plan(&planner.Input{Table: &table, Registrations: parseRegistrations(data.Input), Evacuations: parseEvacuations(t, data)})
+				config := planner.Plan(&planner.Input{Table: &table, Registrations: parseRegistrations(data.Input), Evacuations: parseEvacuations(t, data), ColdRule: carobthread.ColdRule{Over: 1.5, Slack: 5}})
 				return formatConfig(&config)
 			}
 			data.Fatalf(t, "unknown command %s", data.Cmd)
@@ -80,6 +80,9 @@
 		if searcher.Evacuated {
 			fmt.Fprintf(&output, ", evacuated from %d to %d", searcher.EvacuationStart, searcher.EvacuationEnd)
 		}
+		if cold := searcher.Cold; cold != (carobthread.ColdState{}) {
+			fmt.Fprintf(&output, ", at most %v a second for %s from %s", cold.Limit, cold.Span, cold.Started.Time().Format(time.RFC3339Nano))
+		}
 		output.WriteString("\n")
 	}
 	return output.String()
--- a/recorder/trace.go
+++ b/recorder/trace.go
@@ -49,7 +49,7 @@
 	}
 	for i := range line.Actions {
 		action := &line.Actions[i]
-		if countTrue(action.Send != nil, action.Cancel != nil, action.Answer != nil, action.Refuse != nil, action.Connect != nil) != 1 {
+		if countTrue(action.Send != nil, action.Cancel != nil, action.Answer != nil, action.Refuse != nil, action.Connect != nil, action.Cold != nil) != 1 {
 			return errors.New("an action has exactly one kind")
 		}
 	}
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -166,7 +166,8 @@
 	}
 	host.caller = caller.NewHTTP(callerOptions)
 	host.setMemoryLimit(host.settings.Runtime.Memory)
-	host.core = gatherer.New(host.options.Seed, gatherer.Options{})
+	otherHosts, _ := host.seeds()
+	host.core = gatherer.New(host.options.Seed, gatherer.Options{MinHosts: 1 + len(otherHosts)})
 	host.search = server.NewSearch(server.SearchOptions{
 		Host:      host.settings.Host.Name,
 		Decider:   host.core,
@@ -232,8 +233,8 @@
 	return contacts, hosts
 }
 
-// Reload applies the retry budget, the seeds, the stop limit and the memory limit of new settings; other changes need a
-// restart.
+// Reload applies the retry budget, the rule for cold searchers, the seeds, the stop limit and the memory limit of new
+// settings; other changes need a restart.
 func (host *ForwardingHost) Reload(settings carobthread.Settings) {
 	host.activeSettings.Store(&settings)
 	host.setMemoryLimit(settings.Runtime.Memory)
@@ -272,6 +273,7 @@
 	host.search.Configure(planner.Plan(&planner.Input{
 		Table: table, Registrations: state.Registrations, Evacuations: state.Evacuations,
 		RetryBudget: carobthread.RetryBudget{Ratio: forward.RetryRatio, Slack: forward.RetrySlack, Window: forward.RetryWindow},
+		ColdRule:    carobthread.ColdRule{Over: forward.ColdOver, Slack: forward.ColdSlack},
 	}))
 	if table.Version != host.routedVersion {
 		host.forwarder.SetRouter(router.New(table)) // its weighted shares go on while searchers change
--- a/server/backpressure.go
+++ b/server/backpressure.go
@@ -34,6 +34,18 @@
 		Bool("leaving", stated.Leaving).Int64("retry-after-us", stated.RetryAfterMicros).Msg("what a searcher asks of its callers changed")
 }
 
+// logCold logs that a searcher has become cold or warm.
+func (search *Search) logCold(changed *carobthread.ColdChanged) {
+	event := "searcher-cold"
+	if changed.LeftMicros == 0 {
+		event = "searcher-warm"
+	}
+	if search.limiter.Allow(search.options.Timer.Now(), event) {
+		search.options.Logger.Info().Str("event", event).Str("searcher", changed.Searcher).Int64("left-us", changed.LeftMicros).
+			Int("share", changed.Share).Int64("window-us", changed.WindowMicros).Msg("searcher changed between cold and warm")
+	}
+}
+
 // markDepartures returns the searchers with those marked as leaving that have said so themselves, and forgets the departures of
 // searchers that have been gone for long.
 func (search *Search) markDepartures(searchers []carobthread.Searcher) []carobthread.Searcher {
--- a/server/search.go
+++ b/server/search.go
@@ -234,6 +234,8 @@
 		})
 	case action.Connect != nil:
 		search.setConnections(action.Connect)
+	case action.Cold != nil:
+		search.logCold(action.Cold)
 	}
 }
 
--- a/settings.go
+++ b/settings.go
@@ -69,6 +69,11 @@
 	RetrySlack float64
 	// RetryWindow is the key retry-window, the sliding window of RetryRatio and RetrySlack, default 10s, 100ms to 10m.
 	RetryWindow time.Duration
+	// ColdOver is the key cold-over: the factor by which the requests that reach a cold searcher in one second, from all entry
+	// hosts together, may exceed what it can take, default 1.5, 1 to 100.
+	ColdOver float64
+	// ColdSlack is the key cold-slack: the requests per second allowed in addition, default 5, 0 to 1000000.
+	ColdSlack float64
 }
 
 // RuntimeSettings is section [runtime], which is optional.
