Order waiting attempts across the services of a searcher

Cause: attempts waited in order of arrival for each shard of each layout; services that share searchers had queues of their own, which the poll of the queues visited without regard to priority. An urgent search of 80 ms could wait behind full ones, an urgent query was refused for a queue of its own kind only, and a less urgent one was admitted whatever waited before it.

Change: package scheduler orders all attempts that compete for a searcher: in time before late, priority, least slack, least time left (a caller that comes back after a refusal goes before newcomers), arrival. Each service gets at least a tenth of a searcher's work while it waits, in a turn before more urgent attempts. An attempt that would wait uses slots kept in reserve for less urgent services (class reserved). A full queue gives up the last query in the order of which nothing has run. The wait of a new query counts what is sent before it at all services of the shard's searchers; refused callers are asked to come back after 20 ms at least, spread over half of the wait. Queries that fail in the queue get a Retry-After of the same kind.

An estimate that every query would be late no longer refuses those whose shards have no queue before them.

--- a/event.go
+++ b/event.go
@@ -211,6 +211,8 @@
 	// Estimate is the expected latency of the searcher, EstimateAge the time since the last latency sample.
 	Estimate    time.Duration
 	EstimateAge time.Duration
+	// Waited is how long the attempt waited for a slot.
+	Waited time.Duration
 }
 
 // CancelAttempt asks the process to cancel an attempt whose reply is no longer needed.
@@ -323,6 +325,8 @@
 type RefusalInputs struct {
 	// Waiting counts the service's attempts that wait for a slot.
 	Waiting int
+	// Ahead counts the attempts that would be sent before those of the refused query at the shard that decided.
+	Ahead int
 	// WaitEstimate is the estimated time until the required shards can be reached before the deadline.
 	WaitEstimate time.Duration
 	// Reachable and Required count shards.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -66,7 +66,7 @@
 		line = line.Int64("retry-after-us", record.RetryAfter.Microseconds())
 	}
 	if refusal := record.Refusal; refusal != nil {
-		line = line.Int("waiting", refusal.Inputs.Waiting).Int64("wait-estimate-us", refusal.Inputs.WaitEstimate.Microseconds()).
+		line = line.Int("waiting", refusal.Inputs.Waiting).Int("ahead", refusal.Inputs.Ahead).Int64("wait-estimate-us", refusal.Inputs.WaitEstimate.Microseconds()).
 			Int("shards-reachable", refusal.Inputs.Reachable).Int("shards-required", refusal.Inputs.Required).
 			Strs("cut-off", refusal.Inputs.CutOff)
 	}
@@ -89,6 +89,9 @@
 		line = line.Str("kind", string(event.Kind)).Str("class", event.Inputs.Class).
 			Int("in-flight", event.Inputs.InFlight).Int("limit", event.Inputs.Limit).
 			Int64("estimate-us", event.Inputs.Estimate.Microseconds()).Int64("estimate-age-us", event.Inputs.EstimateAge.Microseconds())
+		if event.Inputs.Waited > 0 {
+			line = line.Int64("waited-us", event.Inputs.Waited.Microseconds())
+		}
 	case server.AttemptEnded:
 		line = line.Str("status", string(event.Status)).AnErr("error", event.Cause).
 			Int64("connected-us", event.Timing.Connected.Microseconds()).Bool("new-connection", event.Timing.NewConnection).
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -71,6 +71,8 @@
 	}
 	gatherer.attempts[attempt.id] = attempt
 	replica.inFlight++
+	replica.searcher.workSent += service.expectedWork()
+	replica.servedAt = replica.searcher.workSent
 	replica.searcher.limit.Start()
 	replica.searcher.rate.Take(gatherer.now)
 	gatherer.countCold(replica.searcher)
@@ -157,10 +159,11 @@
 		state.setBlocked(carobthread.BlockedNoReplica, class)
 		return
 	}
-	if index < 0 || !gatherer.takeBudget(query, shard, kind) {
+	noSlot := index < 0 || class == classReserved
+	if noSlot || !gatherer.takeBudget(query, shard, kind) {
 		gatherer.stats.BudgetRefused++
 		state.setBlocked(carobthread.BlockedBudget, class)
-		if index < 0 {
+		if noSlot {
 			state.setBlocked(carobthread.BlockedNoSlot, class)
 		}
 		state.checkAt = gatherer.now.Add(gatherer.budgetRetryDelay(query, shard))
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -18,6 +18,8 @@
 	classLocal replicaClass = iota
 	// classRemote is in another data centre, or is local with at least this host's fair share of its slots in use.
 	classRemote
+	// classReserved has free slots only among those kept for less urgent services; it is used by attempts that would wait.
+	classReserved
 	// classSaturated has no free slot; the attempt waits for one rather than going to a replica with bad outcomes.
 	classSaturated
 	// classThrottled has used up this host's share of the rate limit that the searcher names, or wants nothing from this host
@@ -49,7 +51,8 @@
 // String returns the name of the class in logs.
 func (class replicaClass) String() string {
 	names := [...]string{
-		"local", "remote", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "cold", "tried", "lacks-snapshot", "lacks-layout", "evacuated", "gone",
+		"local", "remote", "reserved", "saturated", "throttled", "avoided", "unheld", "may-hold", "silent", "ejected", "cold", "tried",
+		"lacks-snapshot", "lacks-layout", "evacuated", "gone",
 	}
 	return names[class]
 }
@@ -220,7 +223,7 @@
 	case gatherer.throttled(searcher):
 		return classThrottled
 	case !replica.row.free():
-		return classSaturated
+		return replica.row.classWithoutSlot()
 	case searcher.ejection.Ejected(gatherer.now):
 		return classEjected
 	case searcher.centre.silent(gatherer.now):
@@ -250,10 +253,22 @@
 // services use keeps one slot in reserve for each of the others.
 func (replica *replicaRow) free() bool {
 	searcher := replica.searcher
-	if !searcher.limit.Free() || searcher.config.Connections > 0 && searcher.limit.Running() >= searcher.connectionShare.Current() {
-		return false
+	return searcher.free() && (searcher.serviceCount <= 1 || replica.inFlight < max(1, searcher.limit.Limit()-searcher.serviceCount+1))
+}
+
+// free reports whether one more attempt of any service may be sent.
+func (searcher *searcherRow) free() bool {
+	return searcher.limit.Free() && (searcher.config.Connections == 0 || searcher.limit.Running() < searcher.connectionShare.Current())
+}
+
+// classWithoutSlot returns the class of a replica that is not free. Slots in reserve for less urgent services are used before
+// an attempt waits, since these services would otherwise be served more often than the urgent one under a load of the latter.
+func (replica *replicaRow) classWithoutSlot() replicaClass {
+	searcher := replica.searcher
+	if replica.reserve < searcher.serviceCount-1 && searcher.free() && replica.inFlight < max(1, searcher.limit.Limit()-replica.reserve) {
+		return classReserved
 	}
-	return searcher.serviceCount <= 1 || replica.inFlight < max(1, searcher.limit.Limit()-searcher.serviceCount+1)
+	return classSaturated
 }
 
 // lacksSnapshot reports whether the searcher has just refused the snapshot, has just replied without listing it, or holds a
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -115,7 +115,8 @@
 func (gatherer *Gatherer) configureService(service *carobthread.Service, layouts []*carobthread.Layout) {
 	row := gatherer.services[service.Name]
 	if row == nil {
-		row = &serviceRow{}
+		gatherer.serviceCount++
+		row = &serviceRow{number: gatherer.serviceCount}
 		gatherer.services[service.Name] = row
 		gatherer.serviceList = append(gatherer.serviceList, row)
 	}
@@ -232,12 +233,9 @@
 		searcher.servedShards = searcher.servedShards[:0]
 		searcher.serviceCount = 0
 	}
-	byPriority := slices.Clone(gatherer.serviceList)
+	byPriority := slices.DeleteFunc(slices.Clone(gatherer.serviceList), func(service *serviceRow) bool { return !service.known })
 	slices.SortStableFunc(byPriority, func(left, right *serviceRow) int { return cmp.Compare(left.config.Priority, right.config.Priority) })
 	for _, service := range byPriority {
-		if !service.known {
-			continue
-		}
 		for _, layout := range service.layouts {
 			layout.link()
 		}
@@ -248,6 +246,25 @@
 	for _, layout := range gatherer.retiredLayouts {
 		layout.link()
 	}
+	reserveSlots(byPriority)
+}
+
+// reserveSlots sets the slots that each service keeps in reserve for others, for services in the order of their priorities.
+func reserveSlots(byPriority []*serviceRow) {
+	counts := map[*searcherRow]int{}
+	for first := 0; first < len(byPriority); {
+		last := first
+		for ; last < len(byPriority) && byPriority[last].config.Priority == byPriority[first].config.Priority; last++ {
+			for _, replica := range byPriority[last].replicas {
+				counts[replica.searcher]++
+			}
+		}
+		for ; first < last; first++ {
+			for _, replica := range byPriority[first].replicas {
+				replica.reserve = counts[replica.searcher] - 1
+			}
+		}
+	}
 }
 
 func (layout *layoutRow) link() {
--- a/gatherer/deadline.go
+++ b/gatherer/deadline.go
@@ -73,7 +73,9 @@
 	}
 	gatherer.due = due
 	for _, query := range due {
-		gatherer.advance(query)
+		if query.service != nil { // Another query may have needed its place in a full queue.
+			gatherer.advance(query)
+		}
 	}
 	clear(due)
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"carobthread"
+	"carobthread/scheduler"
 	"carobthread/stopper"
 )
 
@@ -36,8 +37,10 @@
 	startedAt   carobthread.Instant
 	stop        stopper.Stop
 
-	services       map[string]*serviceRow
-	serviceList    []*serviceRow
+	services    map[string]*serviceRow
+	serviceList []*serviceRow
+	// serviceCount counts the services ever configured.
+	serviceCount   int
 	searchers      map[string]*searcherRow
 	searcherList   []*searcherRow
 	centres        map[string]*centreRow
@@ -69,6 +72,10 @@
 	timers        timerHeap
 	freed         []*searcherRow
 	waitingShards []*shardRow
+	// waiting counts the attempts in all queues.
+	waiting int
+	// pass numbers the passes over queues that visit each one once.
+	pass uint64
 
 	actions      []carobthread.Action
 	sends        []carobthread.SendAttempt
@@ -77,6 +84,8 @@
 	due          []*queryRow
 	classes      []replicaClass
 	tallies      []snapshotTally
+	competitors  []competitor
+	entries      []scheduler.Entry
 	stats        Stats
 }
 
@@ -118,6 +127,9 @@
 	case event.Query != nil:
 		gatherer.runTimers()
 		gatherer.sendWaitingOnFreed()
+		if gatherer.backpressured {
+			gatherer.sendAllWaiting() // The tokens of rate limits come with time, and waiting attempts must get them first.
+		}
 		gatherer.handleQuery(event.Query)
 	case event.Reply != nil:
 		gatherer.reply(event.Reply)
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carobthread"
+	"carobthread/scheduler"
 	"carobthread/stopper"
 )
 
@@ -87,9 +88,10 @@
 		return false
 	}
 	if service.config.FloorRequired {
-		if wait := gatherer.timeToFloor(service, plan); wait > 0 {
-			inputs := carobthread.RefusalInputs{Waiting: service.waiting, WaitEstimate: wait}
-			gatherer.refuseFor(arrived, carobthread.ReasonOverload, gatherer.addJitter(wait), inputs)
+		newcomer := queryRow{service: service, sequence: gatherer.nextQuery + 1}
+		newcomer.setDeadlines(gatherer.now, deadline)
+		if wait := gatherer.floorWait(&newcomer, plan.layout); wait.excess > 0 {
+			gatherer.refuseOverloaded(arrived, &newcomer, wait)
 			return false
 		}
 	}
@@ -101,29 +103,6 @@
 	return true
 }
 
-// timeToFloor estimates how long it takes until the service's shard queues are short enough for a new query to reach its
-// coverage floor by its soft deadline; 0 if they are short enough now.
-//
-// Without this check, all admitted queries would be answered late while some shards are overloaded.
-func (gatherer *Gatherer) timeToFloor(service *serviceRow, plan *queryPlan) time.Duration {
-	if service.waiting == 0 && !gatherer.backpressured {
-		return 0
-	}
-	permitted := service.config.SoftDeadline - service.latency.median
-	excess := make([]time.Duration, len(plan.layout.shards))
-	for i := range plan.layout.shards {
-		excess[i] = gatherer.queueWait(&plan.layout.shards[i]) - permitted
-	}
-	slices.Sort(excess)
-	return max(0, excess[service.required(len(excess))-1])
-}
-
-// addJitter lengthens the retry delay of a refused caller by up to a half, so that callers refused at the same time do not
-// retry at the same time.
-func (gatherer *Gatherer) addJitter(wait time.Duration) time.Duration {
-	return wait + time.Duration(gatherer.random.Float64()*float64(wait)/2)
-}
-
 // cannotAnswerInTime reports whether a serving shard's queue is too long for the time left, or whether so many shards have
 // such a queue that the floor cannot be met.
 func (gatherer *Gatherer) cannotAnswerInTime(service *serviceRow, plan *queryPlan, left time.Duration) bool {
@@ -148,6 +127,15 @@
 	if len(row.waiting) == 0 {
 		return throttled
 	}
+	rate := gatherer.drainRate(row)
+	if rate == 0 {
+		return cmp.Or(throttled, maxLatency)
+	}
+	return scheduler.Duration(len(row.waiting), rate)
+}
+
+// drainRate estimates how many attempts per second of the shard's service its searchers take.
+func (gatherer *Gatherer) drainRate(row *shardRow) float64 {
 	rate := 0.0
 	for i := range row.replicas {
 		replica := row.replicas[i].row
@@ -155,10 +143,7 @@
 			rate += gatherer.throughput(replica)
 		}
 	}
-	if rate == 0 {
-		return cmp.Or(throttled, maxLatency)
-	}
-	return time.Duration(float64(len(row.waiting)) / rate * float64(time.Second))
+	return rate
 }
 
 // expectedLatency returns the replica's latency estimate in nanoseconds, but at least the service's median and at least 1
@@ -196,17 +181,16 @@
 	shards := query.current.shards[:0]
 	gatherer.nextQuery++
 	*query = queryRow{
-		id:           id,
-		sequence:     gatherer.nextQuery,
-		service:      service,
-		current:      newCandidate(plan, shards),
-		arrived:      gatherer.now,
-		softDeadline: deadline,
-		deadline:     deadline,
-		heapIndex:    -1,
-	}
-	if service.latencyFirst() && !gatherer.options.RandomReplica {
-		query.softDeadline = min(deadline, gatherer.now.Add(service.config.SoftDeadline))
+		id:        id,
+		sequence:  gatherer.nextQuery,
+		service:   service,
+		current:   newCandidate(plan, shards),
+		arrived:   gatherer.now,
+		heapIndex: -1,
+	}
+	query.setDeadlines(gatherer.now, deadline)
+	if gatherer.options.RandomReplica {
+		query.softDeadline = deadline
 	}
 	query.due = min(query.softDeadline, max(gatherer.now, query.lastStart()))
 	query.pendingShards = len(query.current.shards)
@@ -223,6 +207,14 @@
 	}
 }
 
+// setDeadlines sets the deadlines of a query that has arrived now.
+func (query *queryRow) setDeadlines(now, deadline carobthread.Instant) {
+	query.deadline, query.softDeadline = deadline, deadline
+	if query.service.latencyFirst() {
+		query.softDeadline = min(deadline, now.Add(query.service.config.SoftDeadline))
+	}
+}
+
 // best returns the candidate with the higher coverage, the current one on a tie.
 func (query *queryRow) best() *candidate {
 	if query.fallback != nil && query.fallback.better(&query.current) {
@@ -268,7 +260,7 @@
 	if query.service.config.FloorRequired && !query.service.floorMet(chosen) {
 		answer.Failed = true
 		answer.NotRun = query.mayHaveRun == 0
-		answer.RetryAfterMicros = query.service.admission.RetryAfter().Microseconds()
+		answer.RetryAfterMicros = gatherer.retryAfterAnswer(query).Microseconds()
 	}
 	if !answer.Failed || gatherer.now >= query.deadline {
 		query.service.history.Record(gatherer.now.Sub(query.arrived))
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -59,7 +59,7 @@
 	case "view":
 		return run.step(carobthread.Event{View: &carobthread.ViewChanged{View: run.view(data)}})
 	case "warm-up":
-		run.warmUp(run.number(data, "queries", 0), run.duration(data, "latency"), run.text(data, "fail", ""))
+		run.warmUp(run.text(data, "service", "matching"), run.number(data, "queries", 0), run.duration(data, "latency"), run.text(data, "fail", ""))
 		return ""
 	case "query":
 		output := ""
@@ -166,6 +166,12 @@
 			}
 		}
 	}
+	if data.HasArg("urgent") { // A service of higher priority, with the given soft deadline, uses the same searchers.
+		urgent, layout := config.Services[0], config.Layouts[0]
+		urgent.Name, urgent.SoftDeadline, layout.Service = "urgent", run.duration(data, "urgent"), "urgent"
+		config.Services[0].Priority = 1
+		config.Services, config.Layouts = append(config.Services, urgent), append(config.Layouts, layout)
+	}
 	for i := range config.Searchers {
 		searcher := &config.Searchers[i]
 		searcher.Connections = run.number(data, "connections", searcher.Connections)
@@ -202,10 +208,10 @@
 
 // warmUp runs queries one after the other, to fill budgets and latency quantiles; the searcher named by fail fails every
 // attempt.
-func (run *script) warmUp(queries int, latency time.Duration, fail string) {
+func (run *script) warmUp(service string, queries int, latency time.Duration, fail string) {
 	for range queries {
 		run.query++
-		arrived := carobthread.QueryArrived{Query: run.query, Service: "matching"}
+		arrived := carobthread.QueryArrived{Query: run.query, Service: service}
 		actions := run.core.Step(carobthread.Event{At: run.now, Query: &arrived})
 		run.now = run.now.Add(latency)
 		for i := 0; i < len(actions); i++ {
--- a/gatherer/stats.go
+++ b/gatherer/stats.go
@@ -43,6 +43,12 @@
 	// Waited counts the attempts queued for a free slot, and QueueFull those that found the queue full.
 	Waited    uint64 `json:"waited"`
 	QueueFull uint64 `json:"queue-full"`
+	// QueueTurns counts the waiting attempts sent before more urgent ones because their service was served least recently, and
+	// QueueLate those that were sent although their replies were not expected by the target.
+	QueueTurns uint64 `json:"queue-turns"`
+	QueueLate  uint64 `json:"queue-late"`
+	// QueueShed counts the queries given up as not run to make room in a full queue.
+	QueueShed uint64 `json:"queue-shed"`
 	// BlockedShards counts the shards missing from answers by the cause for which they got no further attempt.
 	BlockedShards map[carobthread.BlockCause]uint64 `json:"blocked-shards"`
 
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -139,6 +139,8 @@
 	ejection        limiter.Ejection
 	connectionShare limiter.ConnectionShare
 	servedShards    []*shardRow
+	// workSent is the expected work of all attempts sent to the searcher.
+	workSent time.Duration
 	// serviceCount is the number of services that have the searcher in a layout.
 	serviceCount int
 
@@ -195,6 +197,10 @@
 	service  *serviceRow
 	searcher *searcherRow
 	inFlight int
+	// reserve is the number of other services at the searcher that are at least as urgent; each has a slot in reserve.
+	reserve int
+	// servedAt is the searcher's workSent after the last attempt of the service.
+	servedAt time.Duration
 	// latency is a moving average in nanoseconds, sampledAt the time of its last sample.
 	latency   float64
 	sampledAt carobthread.Instant
@@ -213,6 +219,8 @@
 	replicas        []shardReplica
 	waiting         []waitingAttempt
 	inWaitingShards bool
+	// pass is the last pass over queues that has visited this one.
+	pass uint64
 }
 
 // layoutRow is a layout with its names resolved to table rows.
@@ -230,7 +238,9 @@
 
 // serviceRow is a service with its configured layouts.
 type serviceRow struct {
-	config    carobthread.Service
+	config carobthread.Service
+	// number identifies the service among those of this host.
+	number    int
 	known     bool
 	layouts   []*layoutRow
 	replicas  map[string]*replicaRow
--- a/gatherer/wait.go
+++ b/gatherer/wait.go
@@ -1,14 +1,16 @@
 package gatherer
 
-// Attempts without a free slot, or without a token of a rate limit, wait in a bounded FIFO queue
-// of their shard until there is one or the query ends. An extra attempt is charged to the budget before it is queued and refunded
-// when it leaves the queue.
+// Attempts without a free slot, or without a token of a rate limit, wait in a bounded queue of their shard and service until
+// there is one or the query ends. Package scheduler decides which of the attempts that compete for a slot gets it. Attempts of
+// all services and layouts compete that use a searcher. An extra attempt is charged to the budget before it is queued and
+// refunded when it leaves the queue.
 
 import (
 	"slices"
 	"time"
 
 	"carobthread"
+	"carobthread/scheduler"
 )
 
 // waitingPollInterval is how often the queues are checked without a reply, since limits rise and ejections expire with time.
@@ -23,10 +25,18 @@
 	since carobthread.Instant
 }
 
-// enqueue queues an attempt for a slot; it returns false if the shard's queue is full.
+// competitor is a waiting attempt with its queue while the next attempt for a slot is chosen.
+type competitor struct {
+	waitingAttempt
+	row *shardRow
+	// sequence is that of the query, whose row is used again for another one after its end.
+	sequence uint64
+}
+
+// enqueue queues an attempt for a slot; it returns false if the shard's queue is full of attempts that go before it.
 func (gatherer *Gatherer) enqueue(query *queryRow, shard uint32, kind carobthread.AttemptKind) bool {
 	row := &query.current.layout.shards[shard]
-	if len(row.waiting) >= maxWaiting {
+	if len(row.waiting) >= maxWaiting && !gatherer.makeRoom(query, row) {
 		gatherer.stats.QueueFull++
 		return false
 	}
@@ -40,34 +50,63 @@
 	state.checkAt = 0
 	query.waiting++
 	query.service.waiting++
+	gatherer.waiting++
 	gatherer.stats.Waited++
 	return true
 }
 
-// stopWaiting removes the query's attempt from the shard's queue, if it is queued, and refunds it.
-func (gatherer *Gatherer) stopWaiting(query *queryRow, shard uint32) {
-	state := &query.current.shards[shard]
-	if !state.waiting {
-		return
+// makeRoom gives up the last query in the order of a full queue of which nothing has run, if it comes after the given one. It
+// applies to services with a required floor, whose callers get a refusal instead of a partial answer.
+func (gatherer *Gatherer) makeRoom(query *queryRow, row *shardRow) bool {
+	if !query.service.config.FloorRequired {
+		return false
 	}
-	row := &query.current.layout.shards[shard]
-	for i := range row.waiting {
-		if row.waiting[i].query == query {
-			gatherer.dequeue(row, i)
-			return
+	last := gatherer.entry(query, row, nil)
+	var victim *queryRow
+	for _, waiting := range row.waiting {
+		if waiting.query == query || waiting.query.mayHaveRun > 0 {
+			continue
+		}
+		if entry := gatherer.entry(waiting.query, row, nil); scheduler.Compare(last, entry) < 0 {
+			last, victim = entry, waiting.query
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	gatherer.stats.QueueShed++
+	for shard := range victim.current.shards {
+		state := &victim.current.shards[shard]
+		if state.reply == 0 && !state.closed {
+			gatherer.stopWaiting(victim, uint32(shard))
+			gatherer.closeShard(victim, uint32(shard), carobthread.ReasonNoSlot)
 		}
 	}
+	gatherer.finishIfDone(victim)
+	return true
+}
+
+// stopWaiting removes the query's attempt from the shard's queue, if it is queued, and refunds it.
+func (gatherer *Gatherer) stopWaiting(query *queryRow, shard uint32) {
+	if query.current.shards[shard].waiting {
+		gatherer.dequeue(&query.current.layout.shards[shard], query)
+	}
 }
 
-// dequeue removes a waiting attempt and refunds it; the caller must take it from the budget again to send it.
-func (gatherer *Gatherer) dequeue(row *shardRow, index int) {
+// dequeue removes the query's waiting attempt and refunds it; the caller must take it from the budget again to send it.
+func (gatherer *Gatherer) dequeue(row *shardRow, query *queryRow) {
+	index := slices.IndexFunc(row.waiting, func(waiting waitingAttempt) bool { return waiting.query == query })
+	if index < 0 {
+		return
+	}
 	entry := row.waiting[index]
 	row.waiting = slices.Delete(row.waiting, index, index+1)
-	entry.query.current.shards[entry.shard].waiting = false
-	entry.query.waiting--
-	entry.query.service.waiting--
+	query.current.shards[entry.shard].waiting = false
+	query.waiting--
+	query.service.waiting--
+	gatherer.waiting--
 	if entry.kind != carobthread.AttemptFirst {
-		gatherer.refund(entry.query, entry.shard, entry.since)
+		gatherer.refund(query, entry.shard, entry.since)
 	}
 }
 
@@ -76,25 +115,39 @@
 	for i := 0; i < len(gatherer.freed); i++ {
 		searcher := gatherer.freed[i]
 		searcher.freed = false
-		for _, row := range searcher.servedShards {
-			gatherer.sendWaiting(row, true)
-		}
-		for _, row := range searcher.servedShards {
-			gatherer.sendWaiting(row, false)
+		if !searcher.limit.Free() {
+			continue
 		}
+		gatherer.nextPass()
+		gatherer.clearCompetitors()
+		gatherer.addCompetitors(searcher)
+		gatherer.sendCompetitors(searcher, scheduler.Order(gatherer.entries))
 	}
 	gatherer.freed = gatherer.freed[:0]
 }
 
-// sendAllWaiting tries to send the waiting attempts of every shard, since limits also rise and ejections expire without a
-// reply.
+// sendAllWaiting tries to send the waiting attempts of every shard, since limits also rise, rate limits gain tokens and
+// ejections expire without a reply. Shards that share searchers compete together.
 func (gatherer *Gatherer) sendAllWaiting() {
 	if len(gatherer.waitingShards) == 0 {
 		return
 	}
+	pass := gatherer.nextPass()
 	for i := 0; i < len(gatherer.waitingShards); i++ {
-		gatherer.sendWaiting(gatherer.waitingShards[i], true)
-		gatherer.sendWaiting(gatherer.waitingShards[i], false)
+		row := gatherer.waitingShards[i]
+		if row.pass == pass || len(row.waiting) == 0 || len(row.replicas) == 0 {
+			continue
+		}
+		gatherer.clearCompetitors()
+		anyFree := false
+		for j := range row.replicas {
+			searcher := row.replicas[j].row.searcher
+			anyFree = anyFree || searcher.limit.Free()
+			gatherer.addCompetitors(searcher)
+		}
+		// Without a free slot, the only attempts that leave the queue are those without a replica to wait for.
+		isTurn := anyFree && scheduler.Order(gatherer.entries)
+		gatherer.sendCompetitors(nil, isTurn)
 	}
 	gatherer.waitingShards = slices.DeleteFunc(gatherer.waitingShards, func(row *shardRow) bool {
 		row.inWaitingShards = len(row.waiting) > 0
@@ -102,24 +155,99 @@
 	})
 }
 
-// sendWaiting sends the shard's waiting attempts, oldest first, while slots are free: either those whose queries can still
-// be answered in time or, with inTime false, the others. Without this order, the oldest attempts of an overloaded shard
-// would take every slot and each would be replied to too late.
-func (gatherer *Gatherer) sendWaiting(row *shardRow, inTime bool) {
-	for i := 0; i < len(row.waiting); {
-		entry := row.waiting[i]
-		if gatherer.inTime(entry.query) != inTime {
-			i++
+// nextPass begins a pass over queues that visits each one once.
+func (gatherer *Gatherer) nextPass() uint64 {
+	gatherer.pass++
+	return gatherer.pass
+}
+
+// clearCompetitors begins the choice of the next attempts for the slots of a set of searchers.
+func (gatherer *Gatherer) clearCompetitors() {
+	clear(gatherer.competitors)
+	gatherer.competitors, gatherer.entries = gatherer.competitors[:0], gatherer.entries[:0]
+}
+
+// addCompetitors adds the waiting attempts of the shards that the searcher serves and that this pass has not visited.
+func (gatherer *Gatherer) addCompetitors(searcher *searcherRow) {
+	for _, row := range searcher.servedShards {
+		if row.pass != gatherer.pass && len(row.waiting) > 0 {
+			gatherer.addQueue(row, searcher)
+		}
+	}
+}
+
+func (gatherer *Gatherer) addQueue(row *shardRow, searcher *searcherRow) {
+	row.pass = gatherer.pass
+	for _, waiting := range row.waiting {
+		entry := gatherer.entry(waiting.query, row, searcher)
+		entry.Ref = len(gatherer.competitors)
+		gatherer.entries = append(gatherer.entries, entry)
+		gatherer.competitors = append(gatherer.competitors, competitor{waitingAttempt: waiting, row: row, sequence: waiting.query.sequence})
+	}
+}
+
+// sendCompetitors sends the competing attempts in order; those that find no slot stay in their queues. It ends when a searcher
+// given as only has no free slot. The flag isTurn is set if the first one goes before more urgent ones.
+func (gatherer *Gatherer) sendCompetitors(only *searcherRow, isTurn bool) {
+	for i := range gatherer.entries {
+		if only != nil && !only.limit.Free() {
+			return
+		}
+		entry := gatherer.entries[i]
+		competing := &gatherer.competitors[entry.Ref]
+		if !competing.waits() {
 			continue
 		}
-		index, class := gatherer.choose(entry.query, entry.shard)
+		index, class := gatherer.choose(competing.query, competing.shard)
 		if class.waits() {
-			i++
 			continue
 		}
-		gatherer.dequeue(row, i)
-		gatherer.sendDequeued(entry, index, class)
+		gatherer.countSent(entry, isTurn && i == 0)
+		gatherer.dequeue(competing.row, competing.query)
+		gatherer.sendDequeued(competing.waitingAttempt, index, class)
+	}
+}
+
+// waits reports whether the attempt is still in its queue.
+func (competing *competitor) waits() bool {
+	query, shard := competing.query, int(competing.shard)
+	if query.sequence != competing.sequence || shard >= len(query.current.shards) || &query.current.layout.shards[shard] != competing.row {
+		return false
+	}
+	return query.current.shards[shard].waiting
+}
+
+// entry returns the place in the order of an attempt of the query at the shard; the searcher whose slots are at stake may be
+// nil.
+func (gatherer *Gatherer) entry(query *queryRow, row *shardRow, searcher *searcherRow) scheduler.Entry {
+	service := query.service
+	entry := scheduler.Entry{
+		Service: service.number, Priority: service.config.Priority, Sequence: query.sequence,
+		Late: !gatherer.inTime(query), Work: service.expectedWork(), Left: query.deadline.Sub(gatherer.now),
+	}
+	entry.Slack = query.softDeadline.Sub(gatherer.now) - entry.Work
+	if entry.Late {
+		entry.Slack = entry.Left - entry.Work
+	}
+	if searcher != nil {
+		entry.Unserved = row.unserved(searcher)
+	}
+	return entry
+}
+
+// unserved returns the work that the searcher was sent since the last attempt of the shard's service.
+func (row *shardRow) unserved(searcher *searcherRow) time.Duration {
+	for i := range row.replicas {
+		if replica := row.replicas[i].row; replica.searcher == searcher {
+			return searcher.workSent - replica.servedAt
+		}
 	}
+	return 0
+}
+
+// expectedWork returns the time that an attempt of the service is expected to take a slot.
+func (service *serviceRow) expectedWork() time.Duration {
+	return max(time.Millisecond, service.latency.median)
 }
 
 // inTime reports whether an attempt sent now is likely to get its reply by the query's soft deadline.
@@ -127,6 +255,16 @@
 	return gatherer.now.Add(query.service.latency.median) <= query.softDeadline
 }
 
+// countSent counts an attempt that has left its queue to be sent.
+func (gatherer *Gatherer) countSent(entry scheduler.Entry, isTurn bool) {
+	if isTurn {
+		gatherer.stats.QueueTurns++
+	}
+	if entry.Late {
+		gatherer.stats.QueueLate++
+	}
+}
+
 // sendDequeued sends an attempt that has left its queue, or recovers its shard if no replica is left or the budget refuses
 // it.
 func (gatherer *Gatherer) sendDequeued(entry waitingAttempt, index int, class replicaClass) {
@@ -138,6 +276,7 @@
 		gatherer.recover(query, entry.shard)
 	default:
 		gatherer.send(query, entry.shard, index, entry.kind, class)
+		gatherer.sends[len(gatherer.sends)-1].Inputs.Waited = gatherer.now.Sub(entry.since)
 	}
 	gatherer.finishIfDone(query)
 }
