Delegate queries over shards to hosts with spare capacity

Cause: a host with 0.192 of a core spends 30 ms of processor time and 14 ms of its link on one query of 36 shards, and contacts any one searcher about once in two seconds, too seldom to notice pauses.

Change: hosts state their capacity ([runtime] processor-share and link) in the membership records. A host hands queries over shards to a coordinator, a live host with at least twice its capacity (package delegator, server.Delegation); the coordinator (server.Coordination) answers with the merged outcome or refuses the query as not run. A coordinator uses one searcher per shard until the entry host grants the second; until then, an entry host whose coordinator refuses, is silent or lost handles the query itself, at one searcher less per shard and charged to the retry budget. The messenger carries notifications.

Measured: go test ./cmd/carobthreadd -run TestDelegation passes (coordinator paused: 183 of 184 searches answered, killed: 80 of 82; no search reached more than 2 searchers of a shard). go test of gatherer, server, messenger, tracker, parser, forwarder, runner, limiter and cmd passes; golangci-lint reports nothing. The split of the budget and the precedence of connections are not part of this commit.

--- /dev/null
+++ b/cmd/carobthreadd/delegation_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"carobthread/runner"
+)
+
+const (
+	smallHost = "[runtime]\nprocessors = 1\nprocessor-share = 0.192\nlink = 26Mbps\n"
+	largeHost = "[runtime]\nprocessors = 1\nprocessor-share = 0.8\nlink = 200Mbps\n"
+)
+
+func (entry *process) status(t *testing.T) runner.ForwardingStatus {
+	t.Helper()
+	response, err := http.Get("http://" + entry.addresses[2] + "/status")
+	assert.NilError(t, err)
+	var status runner.ForwardingStatus
+	assert.NilError(t, errors.Join(json.NewDecoder(response.Body).Decode(&status), response.Body.Close()))
+	return status
+}
+
+// startDelegating starts a small host, which the first process is, and two that may coordinate its queries.
+func startDelegating(t *testing.T) *forwardingSite {
+	t.Helper()
+	fleet := startForwardingWith(t, [hostCount]string{smallHost, largeHost, largeHost})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		send(&http.Client{Timeout: requestTimeout}, fleet.processes[0], http.MethodGet, "/search/1", "warm-up", nil)
+		status := fleet.processes[0].status(t)
+		if len(status.Delegation.Coordinators) != 2 || status.Delegation.Answered == 0 {
+			return poll.Continue("%+v", status.Delegation)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	return fleet
+}
+
+// checkRuns checks that no search reached more searchers of a shard than permitted, and that none ran that was refused.
+func (fleet *forwardingSite) checkRuns(t *testing.T, answers map[string]reply) {
+	t.Helper()
+	for shard, searchers := range fleet.shards {
+		reached := map[string]int{}
+		for _, searcher := range searchers {
+			for id := range searcher.Runs() {
+				reached[id]++
+			}
+		}
+		for id, answer := range answers {
+			assert.Check(t, reached[id] <= 2, "search %s reached %d searchers of shard %d", id, reached[id], shard)
+			if answer.status == http.StatusServiceUnavailable {
+				assert.Check(t, reached[id] == 0, "search %s was refused as not run but ran at shard %d", id, shard)
+			}
+		}
+	}
+}
+
+// searchWhile sends searches to the small host, one every few milliseconds, until the disruption returns.
+func (fleet *forwardingSite) searchWhile(name string, disrupt func()) map[string]reply {
+	type result struct {
+		id     string
+		answer reply
+	}
+	client := &http.Client{Timeout: 2 * requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	defer client.CloseIdleConnections()
+	done := make(chan struct{})
+	go func() {
+		disrupt()
+		close(done)
+	}()
+	results, sent := make(chan result, 1000), 0
+	for running := true; running && sent < cap(results); sent++ {
+		id := fmt.Sprintf("%s-%d", name, sent)
+		go func() { results <- result{id, send(client, fleet.processes[0], http.MethodGet, "/search/x", id, nil)} }()
+		select {
+		case <-done:
+			running = false
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	answers := map[string]reply{}
+	for range sent {
+		next := <-results
+		answers[next.id] = next.answer
+	}
+	return answers
+}
+
+func countAnswered(answers map[string]reply) int {
+	count := 0
+	for _, answer := range answers {
+		if answer.status == http.StatusOK {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against queries of a small host that fail, reach too many searchers or are refused although they ran, while the
+// coordinators are killed or paused.
+func TestDelegationSurvivesLostCoordinators(t *testing.T) {
+	fleet := startDelegating(t)
+	answers := fleet.searchWhile("calm", func() { time.Sleep(500 * time.Millisecond) })
+	assert.Equal(t, countAnswered(answers), len(answers))
+	for _, id := range []string{"calm-0", "calm-1"} {
+		assert.Equal(t, answers[id].missing, "0")
+		assert.Equal(t, len(strings.Split(answers[id].signatures, ", ")), shardCount)
+	}
+	before := fleet.processes[0].status(t).Delegation
+	assert.Check(t, before.Answered+20 >= uint64(len(answers)), "%+v", before)
+
+	paused := fleet.processes[1]
+	answers = fleet.searchWhile("paused", func() {
+		time.Sleep(200 * time.Millisecond)
+		assert.Check(t, paused.command.Process.Signal(syscall.SIGSTOP))
+		time.Sleep(700 * time.Millisecond)
+		assert.Check(t, paused.command.Process.Signal(syscall.SIGCONT))
+		time.Sleep(300 * time.Millisecond)
+	})
+	time.Sleep(100 * time.Millisecond)
+	fleet.checkRuns(t, answers)
+	t.Logf("paused: %d of %d answered; %+v", countAnswered(answers), len(answers), fleet.processes[0].status(t).Delegation)
+	assert.Check(t, countAnswered(answers) >= len(answers)*9/10)
+
+	answers = fleet.searchWhile("killed", func() {
+		time.Sleep(200 * time.Millisecond)
+		assert.Check(t, fleet.processes[2].command.Process.Kill())
+		<-fleet.processes[2].ended
+		time.Sleep(300 * time.Millisecond)
+	})
+	fleet.checkRuns(t, answers)
+	t.Logf("killed: %d of %d answered; %+v", countAnswered(answers), len(answers), fleet.processes[0].status(t).Delegation)
+	assert.Check(t, countAnswered(answers) >= len(answers)*9/10)
+}
--- a/config.go
+++ b/config.go
@@ -208,6 +208,8 @@
 	PeerAddress string      `json:"peer-address"`
 	Incarnation Incarnation `json:"incarnation"`
 	State       HostState   `json:"state"`
+	// Capacity is the number of processors that the host may use in effect, or 0 if it does not state one.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // View is the set of entry hosts known to a host, ordered by name.
--- a/event.go
+++ b/event.go
@@ -40,6 +40,7 @@
 	Query  *QueryArrived        `json:"query,omitempty"`
 	Reply  *ReplyArrived        `json:"reply,omitempty"`
 	Gone   *CallerGone          `json:"gone,omitempty"`
+	Grant  *GrantArrived        `json:"grant,omitempty"`
 	Report *ReportArrived       `json:"report,omitempty"`
 	Config *ConfigChanged       `json:"config,omitempty"`
 	View   *ViewChanged         `json:"view,omitempty"`
@@ -55,6 +56,26 @@
 	Service  string  `json:"service"`
 	Deadline Instant `json:"deadline"`
 	Size     int     `json:"size"`
+	QueryLimits
+}
+
+// QueryLimits are the limits of a query that two hosts may have received; the zero value sets none.
+type QueryLimits struct {
+	// SoftDeadline is an earlier soft deadline than the service's, or 0.
+	SoftDeadline Instant `json:"soft-deadline,omitempty"`
+	// Generation is the only layout that the query may be answered from, or 0 for any.
+	Generation uint32 `json:"generation,omitempty"`
+	// MaxSearchers is a smaller maximum number of searchers per shard than the service's, or 0.
+	MaxSearchers int `json:"max-searchers,omitempty"`
+	// Withheld is set if no second searcher of a shard may be sent to before GrantArrived.
+	Withheld bool `json:"withheld,omitempty"`
+	// Repeated is set if another host may have sent the query to the shards, so that first attempts count as extra ones.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// GrantArrived permits a query whose second searchers were withheld to use them.
+type GrantArrived struct {
+	Query QueryID `json:"query"`
 }
 
 // ReplyArrived is the end of an attempt as reported by the searcher or the connection.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +79,10 @@
 	Refusal    *carobthread.RefuseQuery
 	// AttemptEvents are the decisions on the request's attempts, in order.
 	AttemptEvents []server.AttemptEvent
+	// Delegations are the coordinators that the request was sent to, in order.
+	Delegations []server.DelegationEvent
+	// EntryHost is the host that delegated the request to this one, or empty.
+	EntryHost string
 	// RetryAfter is the value sent in the Retry-After header, or 0.
 	RetryAfter time.Duration
 	// CallerGone is set if the caller disconnected before the response was written.
@@ -155,7 +158,7 @@
 	}
 	query := forwarder.query(request, body, &choice, record)
 	outcome, err := forwarder.options.QueryRunner.RunQuery(request.Context(), query)
-	record.AttemptEvents = outcome.AttemptEvents
+	record.AttemptEvents, record.Delegations = outcome.AttemptEvents, outcome.Delegations
 	if err != nil {
 		record.CallerGone = true
 		return
@@ -228,6 +231,8 @@
 			Account: record.account,
 		},
 		AtMostOnce: !choice.Route.Idempotent,
+		Version:    record.Version,
+		TopK:       choice.Route.TopK,
 	}
 	record.AtMostOnce = query.AtMostOnce
 	record.TimeLeft = choice.Route.Timeout
@@ -304,16 +309,15 @@
 // writeRecords writes the greatest records of the merged replies, with the signatures of the replies.
 func (forwarder *Forwarder) writeRecords(writer http.ResponseWriter, record *RequestRecord, route *carobthread.Route, outcome server.Outcome) {
 	names := &forwarder.options.Headers
-	signatures := make([]string, len(outcome.Replies))
-	bodies := make([][]byte, len(outcome.Replies))
-	for i, reply := range outcome.Replies {
-		signatures[i], bodies[i] = reply.HTTP.Signature, reply.HTTP.Body
+	merged := outcome.Merged
+	if merged == nil {
+		merged = server.MergeRecords(outcome.Replies, route.TopK)
 	}
 	coverage := &outcome.Answer.Coverage
-	writer.Header().Set(names.Signatures, strings.Join(signatures, ", "))
+	writer.Header().Set(names.Signatures, merged.Signatures)
 	writer.Header().Set(names.MissingShards, strconv.Itoa(int(coverage.Total-coverage.Answered)))
 	writer.Header().Set(names.RequestID, record.ID)
-	forwarder.write(writer, record, http.StatusOK, topRecords(bodies, route.TopK))
+	forwarder.write(writer, record, http.StatusOK, merged.Body)
 }
 
 // refuse responds with 503 and Retry-After to a request that has not run and will not run.
@@ -366,24 +370,3 @@
 	}
 	return controller.Flush()
 }
-
-// recordSize is the length of a record in a reply, in bytes.
-const recordSize = 16
-
-// topRecords returns the greatest records of all bodies in descending order of their bytes, at most count of them, ignoring a
-// trailing partial record of each body. It uses memory for the records that are there, however great count is.
-func topRecords(bodies [][]byte, count int) []byte {
-	var records [][recordSize]byte
-	for _, body := range bodies {
-		for ; len(body) >= recordSize; body = body[recordSize:] {
-			records = append(records, [recordSize]byte(body))
-		}
-	}
-	slices.SortFunc(records, func(left, right [recordSize]byte) int { return slices.Compare(right[:], left[:]) })
-	records = records[:min(max(0, count), len(records))]
-	merged := make([]byte, 0, len(records)*recordSize)
-	for _, record := range records {
-		merged = append(merged, record[:]...)
-	}
-	return merged
-}
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"carobthread"
@@ -51,9 +52,12 @@
 // Write logs the attempt decisions and the end of a request, unless the request is left out by sampling or the rate limit.
 func (log *Log) Write(now carobthread.Instant, record *RequestRecord) {
 	end := EndOf(record)
-	if end == "answered" && log.answered.Add(1)%sampleInterval != 0 || !log.limiter.Allow(now, end) {
+	if end == "answered" && !log.sampled(record) || !log.limiter.Allow(now, end) {
 		return
 	}
+	for i := range record.Delegations {
+		log.writeDelegation(record, &record.Delegations[i])
+	}
 	for i := range record.AttemptEvents {
 		log.writeAttemptEvent(record, &record.AttemptEvents[i])
 	}
@@ -62,6 +66,9 @@
 		Int("status", record.Status).Str("reason", string(record.Reason)).
 		Int64("took-us", record.Took.Microseconds()).Int64("time-left-us", record.TimeLeft.Microseconds()).
 		Int64("target-us", record.TargetLatency.Microseconds()).Bool("once", record.AtMostOnce)
+	if record.EntryHost != "" {
+		line = line.Str("entry-host", record.EntryHost)
+	}
 	if record.RetryAfter > 0 {
 		line = line.Int64("retry-after-us", record.RetryAfter.Microseconds())
 	}
@@ -80,6 +87,30 @@
 	line.Msg("request ended")
 }
 
+// sampled reports whether a successful request is logged. The choice for a request with an ID depends on that alone once it
+// was delegated, so that both hosts log the same requests.
+func (log *Log) sampled(record *RequestRecord) bool {
+	if record.ID != "" && (record.EntryHost != "" || len(record.Delegations) > 0) {
+		return xxhash.Sum64String(record.ID)%sampleInterval == 0
+	}
+	return log.answered.Add(1)%sampleInterval == 0
+}
+
+func (log *Log) writeDelegation(record *RequestRecord, event *server.DelegationEvent) {
+	line := log.output.Info().Str("event", "delegated").Str("request", record.ID).
+		Int64("after-us", event.At.Sub(record.Arrived).Microseconds()).
+		Str("coordinator", event.Coordinator).Str("choice", string(event.Choice))
+	for _, moment := range []struct {
+		name string
+		at   carobthread.Instant
+	}{{"accepted-after-us", event.AcceptedAt}, {"granted-after-us", event.GrantedAt}, {"ended-after-us", event.EndedAt}} {
+		if moment.at != 0 {
+			line = line.Int64(moment.name, moment.at.Sub(record.Arrived).Microseconds())
+		}
+	}
+	line.Str("end", event.End).Str("reason", string(event.Reason)).Msg("delegated")
+}
+
 func (log *Log) writeAttemptEvent(record *RequestRecord, event *server.AttemptEvent) {
 	line := log.output.Info().Str("event", string(event.Decision)).Str("request", record.ID).
 		Int64("after-us", event.At.Sub(record.Arrived).Microseconds()).
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -207,6 +207,8 @@
 			return
 		}
 		gatherer.dispatch(query, shard, carobthread.AttemptRetry)
+	case class == classTried && query.withheld:
+		state.checkAt = 0 // until the grant
 	case class == classTried:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
 		state.tried = 0
--- a/gatherer/blocked.go
+++ b/gatherer/blocked.go
@@ -17,7 +17,7 @@
 	switch {
 	case service.config.AtMostOnce:
 		return carobthread.BlockedAtMostOnce
-	case state.atSearcherLimit(service):
+	case state.atSearcherLimit(query):
 		return carobthread.BlockedSearcherLimit
 	case state.inFlightCount >= maxShardInFlight:
 		return carobthread.BlockedInFlightLimit
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -216,7 +216,7 @@
 		return classLacksSnapshot
 	case query.current.shards[shard].tried&replicaBit(index) != 0:
 		return classTried
-	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].atSearcherLimit(query.service):
+	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].atSearcherLimit(query):
 		return classTried
 	case gatherer.coldBlocked(searcher):
 		return classCold
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -135,6 +135,8 @@
 		gatherer.reply(event.Reply)
 	case event.Gone != nil:
 		gatherer.abandon(event.Gone.Query)
+	case event.Grant != nil:
+		gatherer.grant(event.Grant.Query)
 	case event.Report != nil:
 		gatherer.report(event.Report)
 	case event.Config != nil:
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -57,11 +57,17 @@
 		gatherer.refuse(arrived, carobthread.ReasonNotReady, 0)
 		return
 	}
-	gatherer.countRequest(plan.layout)
+	if arrived.Generation != 0 && arrived.Generation != plan.layout.generation {
+		gatherer.refuse(arrived, carobthread.ReasonLayoutMissing, 0)
+		return
+	}
+	if !arrived.Repeated {
+		gatherer.countRequest(plan.layout)
+	}
 	if gatherer.usesCurrentPolicy() && !gatherer.admit(service, plan, arrived, deadline) {
 		return
 	}
-	gatherer.startQuery(service, plan, arrived.Query, deadline)
+	gatherer.startQuery(service, plan, arrived, deadline)
 }
 
 func validateQuery(service *serviceRow, arrived *carobthread.QueryArrived) carobthread.Reason {
@@ -176,30 +182,38 @@
 	return slots
 }
 
-func (gatherer *Gatherer) startQuery(service *serviceRow, plan *queryPlan, id carobthread.QueryID, deadline carobthread.Instant) {
+func (gatherer *Gatherer) startQuery(service *serviceRow, plan *queryPlan, arrived *carobthread.QueryArrived, deadline carobthread.Instant) {
 	query := gatherer.newQuery()
 	shards := query.current.shards[:0]
 	gatherer.nextQuery++
 	*query = queryRow{
-		id:        id,
+		id:        arrived.Query,
 		sequence:  gatherer.nextQuery,
 		service:   service,
 		current:   newCandidate(plan, shards),
 		arrived:   gatherer.now,
 		heapIndex: -1,
 	}
+	query.limit(&arrived.QueryLimits)
 	query.setDeadlines(gatherer.now, deadline)
 	if gatherer.options.RandomReplica {
 		query.softDeadline = deadline
 	}
+	if arrived.SoftDeadline != 0 {
+		query.softDeadline = min(query.softDeadline, arrived.SoftDeadline)
+	}
 	query.due = min(query.softDeadline, max(gatherer.now, query.lastStart()))
 	query.pendingShards = len(query.current.shards)
-	gatherer.queries[id] = query
+	gatherer.queries[query.id] = query
 	gatherer.actions = slices.Grow(gatherer.actions, query.pendingShards+1)
 	if cap(gatherer.sends)-len(gatherer.sends) < query.pendingShards {
 		gatherer.sends = make([]carobthread.SendAttempt, 0, max(sendChunk, query.pendingShards))
 	}
 	for shard := range query.current.shards {
+		if arrived.Repeated {
+			gatherer.recover(query, uint32(shard))
+			continue
+		}
 		gatherer.dispatch(query, uint32(shard), carobthread.AttemptFirst)
 	}
 	if !gatherer.finishIfDone(query) {
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -101,6 +101,10 @@
 	sent          uint32
 	// mayHaveRun counts the attempts sent that may have run: all but those whose reply shows that they did not run.
 	mayHaveRun int
+	// maxSearchers bounds the searchers that the query is sent to for each shard; withheld is set while only one of them may be
+	// used.
+	maxSearchers int
+	withheld     bool
 }
 
 // attemptRow is one attempt in flight.
@@ -287,9 +291,10 @@
 	return maxAttempts
 }
 
-// atSearcherLimit reports whether the shard's attempts have reached as many searchers as the service permits.
-func (state *shardState) atSearcherLimit(service *serviceRow) bool {
-	return bits.OnesCount64(state.reached) >= service.maxSearchers()
+// atSearcherLimit reports whether the shard's attempts have reached as many searchers as the query permits.
+func (state *shardState) atSearcherLimit(query *queryRow) bool {
+	reached := bits.OnesCount64(state.reached)
+	return reached >= query.maxSearchers || query.withheld && reached > 0
 }
 
 // hedgeDelay returns the time after which an attempt counts as late, or 0 if it is unknown. It is the measured hedge
--- a/messenger/acceptor.go
+++ b/messenger/acceptor.go
@@ -65,7 +65,8 @@
 		return
 	}
 	if request.Notif {
-		return // no method of the protocol is a notification
+		acceptor.messenger.handleNotification(acceptor.peer, request)
+		return
 	}
 	if acceptor.inFlight.Add(1) > maxInFlight {
 		acceptor.inFlight.Add(-1)
@@ -98,7 +99,7 @@
 }
 
 func (acceptor *acceptor) serve(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	result, err := acceptor.invoke(ctx, request)
+	result, err := acceptor.invoke(ctx, conn, request)
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, request.ID, encodeFailure(err))
 		return
@@ -111,7 +112,7 @@
 	}
 }
 
-func (acceptor *acceptor) invoke(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+func (acceptor *acceptor) invoke(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
 	var wrapped envelope
 	if request.Params == nil {
 		return nil, notRunError(carobthread.ReasonUpstreamFailed, "request without params")
@@ -123,6 +124,7 @@
 	if remaining <= 0 {
 		return nil, notRunError(carobthread.ReasonDeadlinePassed, "the deadline passed before the request arrived")
 	}
+	ctx = context.WithValue(ctx, connKey{}, conn)
 	ctx, cancel := context.WithTimeout(tracer.Extract(ctx, wrapped.TraceParent), remaining)
 	defer cancel()
 	return acceptor.messenger.handle(ctx, acceptor.peer, request.Method, wrapped.Body)
--- a/messenger/codec.go
+++ b/messenger/codec.go
@@ -81,6 +81,9 @@
 	defer codec.mutex.Unlock()
 	if request != nil {
 		codec.sendMethod = request.Method
+		if request.Notif {
+			return
+		}
 		codec.startedRequests[request.ID] = true
 		return
 	}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -205,7 +205,7 @@
 		return nil, nil, err
 	}
 	codec := newCodec(link.messenger.meter, maxFrameBytes)
-	conn := newConn(context.WithoutCancel(ctx), link.messenger, stream, codec, refuseRequests{})
+	conn := newConn(context.WithoutCancel(ctx), link.messenger, stream, codec, &notificationReceiver{messenger: link.messenger, peer: link.name})
 	var remote hello
 	if err := conn.Call(ctx, methodHello, link.messenger.localHello(), &remote); err != nil {
 		_ = conn.Close()
@@ -240,11 +240,22 @@
 	return link.detach()
 }
 
-// refuseRequests closes a dialled link whose remote end sends requests; only the dialling end may send them.
-type refuseRequests struct{}
+// notificationReceiver passes on the notifications that arrive on a dialled link and closes the link if its remote end sends
+// a request; only the dialling end may send requests.
+type notificationReceiver struct {
+	messenger *Messenger
+	peer      string
+}
+
+var _ jsonrpc2.Handler = (*notificationReceiver)(nil)
 
-func (refuseRequests) Handle(_ context.Context, conn *jsonrpc2.Conn, _ *jsonrpc2.Request) {
-	_ = conn.Close()
+// Handle processes one message of the accepting end.
+func (receiver *notificationReceiver) Handle(_ context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if !request.Notif {
+		_ = conn.Close()
+		return
+	}
+	receiver.messenger.handleNotification(receiver.peer, request)
 }
 
 func newConn(ctx context.Context, messenger *Messenger, stream net.Conn, codec *codec, handler jsonrpc2.Handler) *jsonrpc2.Conn {
--- a/parser/field.go
+++ b/parser/field.go
@@ -220,6 +220,23 @@
 	}
 }
 
+// bandwidth accepts a number of megabits per second, such as 26Mbps, and stores bits per second.
+func bandwidth(target *float64, maxMbps float64) converter {
+	const bitsPerMegabit = 1e6
+	return func(value *ini.Key) error {
+		digits, found := strings.CutSuffix(value.Value(), "Mbps")
+		megabits, err := parseDecimal(strings.TrimSpace(digits))
+		if !found || err != nil {
+			return fmt.Errorf("%q is not a bandwidth in Mbps, such as 26Mbps", value.Value())
+		}
+		if megabits > maxMbps {
+			return fmt.Errorf("%s is out of range, allowed are 0Mbps to %gMbps", value.Value(), maxMbps)
+		}
+		*target = megabits * bitsPerMegabit
+		return nil
+	}
+}
+
 // formatSize formats a size in the largest unit that divides it.
 func formatSize(bytes int) string {
 	for _, unit := range sizeUnits() {
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -29,6 +29,7 @@
 	maxProcessors      = 1024
 	minMemory          = 16 * megabyte
 	maxMemory          = 1 << 40
+	maxLinkMbps        = 1e7
 	defaultRequestSize = 64 * kilobyte
 	defaultReplySize   = megabyte
 )
@@ -110,6 +111,8 @@
 		"runtime": {
 			optional("processors", roundedDown(&runtime.Processors, 1, maxProcessors)),
 			optional("memory", size(&runtime.Memory, minMemory, maxMemory)),
+			optional("processor-share", share(&runtime.ProcessorShare, 0, maxProcessors)),
+			optional("link", bandwidth(&runtime.Link, maxLinkMbps)),
 		},
 		"peers": {optional("addresses", seedPeers(&settings.Peers.Addresses))},
 		"limits": {
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -20,6 +20,7 @@
 	"carobthread"
 	"carobthread/accountant"
 	"carobthread/caller"
+	"carobthread/delegator"
 	"carobthread/follower"
 	"carobthread/forwarder"
 	"carobthread/gatherer"
@@ -85,6 +86,8 @@
 	search         *server.Search
 	core           *gatherer.Gatherer
 	directory      *server.Directory
+	delegation     *server.Delegation
+	coordination   *server.Coordination
 	forwarder      *forwarder.Forwarder
 	listeners      forwardingListeners
 	// routedVersion is the version of the routing table that the forwarder routes by; only configure accesses it.
@@ -179,11 +182,11 @@
 		Linger:    losingAttemptGrace,
 		Logger:    host.logger,
 	})
+	host.buildDirectory()
 	host.forwarder = forwarder.New(forwarder.Options{
-		Headers: headers, QueryRunner: host.search, Timer: host.timer, Logger: host.logger, OnRequestEnd: host.recordRequest,
+		Headers: headers, QueryRunner: host.delegation, Timer: host.timer, Logger: host.logger, OnRequestEnd: host.recordRequest,
 		Accountant: host.accountant,
 	})
-	host.buildDirectory()
 }
 
 func (host *ForwardingHost) buildDirectory() {
@@ -193,9 +196,10 @@
 		PeerAddress: host.listeners.peer.Addr().String(),
 		Incarnation: carobthread.Incarnation{Start: host.timer.Now(), Random: rand.Uint64()},
 		State:       carobthread.HostLive,
+		Capacity:    host.settings.Runtime.Capacity(),
 	}
 	contacts, seeds := host.seeds()
-	handler := &lateBoundHandler{}
+	handler := &server.PeerRouter{Logger: host.logger}
 	host.messenger = messenger.New(messenger.Options{
 		Self: self, Seeds: seeds, Handler: handler, Timer: host.timer, Logger: host.logger, RandomSeed: host.options.Seed, AcceptUnknownHosts: true,
 	})
@@ -217,10 +221,31 @@
 		OnView:          host.setView,
 		Observer:        host.search,
 	})
-	handler.PeerHandler = host.directory
+	host.buildDelegation(self)
+	handler.Directory, handler.Delegation, handler.Coordination = host.directory, host.delegation, host.coordination
 	host.setView(carobthread.View{Self: self.Name, Hosts: []carobthread.Host{self}})
 }
 
+func (host *ForwardingHost) buildDelegation(self carobthread.Host) {
+	host.delegation = server.NewDelegation(server.DelegationOptions{
+		Self: self, Search: host.search, Core: delegator.New(), Peers: host.messenger, Notifier: host.messenger, Timer: host.timer, Logger: host.logger,
+	})
+	host.coordination = server.NewCoordination(server.CoordinationOptions{
+		Search: host.search, Notifier: host.messenger, Timer: host.timer, Logger: host.logger, Accepts: host.refusesDelegated, OnEnd: host.recordCoordinated,
+	})
+}
+
+// refusesDelegated returns why this host takes no queries of other hosts now, or an empty reason if it does.
+func (host *ForwardingHost) refusesDelegated() carobthread.Reason {
+	switch {
+	case !host.ready.Load():
+		return carobthread.ReasonNotReady
+	case host.stopping.Load():
+		return carobthread.ReasonStopping
+	}
+	return ""
+}
+
 // seeds returns the peer addresses of the other hosts in the settings, as contacts of the directory and as hosts for the
 // messenger to connect to.
 func (host *ForwardingHost) seeds() (contacts []string, hosts []carobthread.Host) {
@@ -244,18 +269,16 @@
 	host.directory.NotifyAll()
 }
 
-// lateBoundHandler is a peer handler that is set after the messenger is built, because the directory, which handles the
-// requests of peers, needs the messenger itself.
-type lateBoundHandler struct{ carobthread.PeerHandler }
-
 func (host *ForwardingHost) setView(view carobthread.View) {
 	host.messenger.SetHosts(view)
 	host.search.SetView(view)
+	host.delegation.SetView(view)
 }
 
 func (host *ForwardingHost) reportGauges() {
 	err := errors.Join(host.meter.Gauges("query", host.search.Stats()), host.meter.Gauges("directory", host.directory.Stats()),
-		host.meter.Gauges("memory", host.accountant.Stats()))
+		host.meter.Gauges("memory", host.accountant.Stats()),
+		host.meter.Gauges("delegation", host.delegation.Stats()), host.meter.Gauges("coordination", host.coordination.Stats()))
 	if host.options.DroppedLines != nil {
 		err = errors.Join(err, host.meter.Gauges("log", struct {
 			Dropped uint64 `json:"dropped-lines"`
@@ -270,11 +293,13 @@
 // to them.
 func (host *ForwardingHost) configure(state server.State) {
 	forward, table := &host.activeSettings.Load().Forward, &state.Table
-	host.search.Configure(planner.Plan(&planner.Input{
+	config := planner.Plan(&planner.Input{
 		Table: table, Registrations: state.Registrations, Evacuations: state.Evacuations,
 		RetryBudget: carobthread.RetryBudget{Ratio: forward.RetryRatio, Slack: forward.RetrySlack, Window: forward.RetryWindow},
 		ColdRule:    carobthread.ColdRule{Over: forward.ColdOver, Slack: forward.ColdSlack},
-	}))
+	})
+	host.search.Configure(config)
+	host.delegation.Configure(&config)
 	if table.Version != host.routedVersion {
 		host.forwarder.SetRouter(router.New(table)) // its weighted shares go on while searchers change
 		host.routedVersion = table.Version
@@ -293,6 +318,11 @@
 	}
 }
 
+// recordCoordinated logs a query that this host has coordinated for another one.
+func (host *ForwardingHost) recordCoordinated(query *server.CoordinatedQuery) {
+	host.requestLog.Write(host.timer.Now(), forwarder.CoordinatedRecord(query))
+}
+
 func (host *ForwardingHost) buildServers(registry *prometheus.Registry) {
 	limits := &host.settings.Limits
 	callers := &http.Server{
@@ -352,6 +382,8 @@
 	loops.Wait()
 	stopSchedule()
 	host.messenger.Close()
+	host.delegation.Close()
+	host.coordination.Close()
 	host.caller.Close()
 	host.accountant.Close()
 	host.store.Close()
@@ -385,6 +417,7 @@
 		select {
 		case <-abort:
 			host.search.Stop(host.timer.Now())
+			host.delegation.Stop(host.timer.Now())
 			timer.Sleep(ctx, host.timer, abortGrace)
 			cancel()
 		case <-ctx.Done():
@@ -392,13 +425,16 @@
 	}()
 	host.stopping.Store(true)
 	host.forwarder.Stop()
-	host.search.Stop(stopper.AnswerBy(host.timer.Now(), limit))
+	answerBy := stopper.AnswerBy(host.timer.Now(), limit)
+	host.search.Stop(answerBy)
+	host.delegation.Stop(answerBy)
 	host.directory.Leave()
 	host.logger.Info().Str("event", "stopping").Dur("limit", limit).Msg("stopping; the host is no longer ready")
 	timer.Sleep(ctx, host.timer, time.Duration(drainFraction*float64(limit)))
 	host.connections.drain(ctx, host.listeners.caller)
+	host.coordination.Drain(ctx)
 	var err error
-	if pending := host.search.Pending(); pending > 0 {
+	if pending := host.search.Pending() + host.delegation.Pending(); pending > 0 {
 		err = fmt.Errorf("graceful stop was cut short with %d requests in flight: %w", pending, ctx.Err())
 	}
 	if closeErr := host.listeners.servers[0].Close(); !errors.Is(closeErr, net.ErrClosed) { // drain has closed the listener
--- a/runner/status.go
+++ b/runner/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"carobthread/delegator"
 	"carobthread/executor"
 	"carobthread/gatherer"
 	"carobthread/limiter"
@@ -50,6 +51,8 @@
 	writeStatus(writer, host.Status(), host.logger)
 }
 
+const bitsPerMegabit = 1e6
+
 // ForwardingStatus is the content of the status page of a host that forwards plain HTTP requests.
 type ForwardingStatus struct {
 	Host       string `json:"host"`
@@ -64,7 +67,13 @@
 	Queries   gatherer.Stats        `json:"queries"`
 	// Memory is what the host holds for callers and searchers; without a memory limit, nothing is counted.
 	Memory limiter.MemoryStats `json:"memory"`
-	Peers  []messenger.Count   `json:"peers"`
+	// Capacity is the number of processors that the host may use in effect, and LinkMbps the bandwidth of its link, or 0.
+	Capacity float64 `json:"capacity,omitempty"`
+	LinkMbps float64 `json:"link-mbps,omitempty"`
+	// Delegation describes the queries that this host hands to coordinators, Coordination those that it coordinates for others.
+	Delegation   delegator.Stats          `json:"delegation"`
+	Coordination server.CoordinationStats `json:"coordination"`
+	Peers        []messenger.Count        `json:"peers"`
 }
 
 // EvacuationStatus is an operator's request to evacuate a data centre.
@@ -101,7 +110,12 @@
 		Directory:  host.directory.Stats(),
 		Queries:    host.search.Stats(),
 		Memory:     host.accountant.Stats(),
-		Peers:      host.messenger.Meter().Counts(),
+		Capacity:   host.settings.Runtime.Capacity(),
+		LinkMbps:   host.settings.Runtime.Link / bitsPerMegabit,
+
+		Delegation:   host.delegation.Stats(),
+		Coordination: host.coordination.Stats(),
+		Peers:        host.messenger.Meter().Counts(),
 	}
 }
 
--- a/server/query.go
+++ b/server/query.go
@@ -31,6 +31,10 @@
 	Refusal  *carobthread.RefuseQuery
 	// AttemptEvents are the decisions on attempts and their ends, in order.
 	AttemptEvents []AttemptEvent
+	// Merged is set instead of Replies if another host has merged them.
+	Merged *MergedRecords
+	// Delegations are the hosts that the query was sent to, in order.
+	Delegations []DelegationEvent
 }
 
 // Query is one request with its deadline and whether it must run at most once; a zero Deadline means the service's hard
@@ -39,6 +43,14 @@
 	Request    *carobthread.Request
 	Deadline   carobthread.Instant
 	AtMostOnce bool
+	// Version is the version of the routing table that the query was routed by, or 0.
+	Version uint64
+	// TopK is the number of records of an answer merged from shards.
+	TopK int
+	// Limits are set for a query that two hosts may have received.
+	Limits carobthread.QueryLimits
+	// Granted is closed when a query whose second searchers are withheld may use them; it may be nil.
+	Granted <-chan struct{}
 }
 
 // RunQuery steps the core with one request and waits for its outcome; the only possible error is that of the context.
@@ -52,18 +64,24 @@
 		replies:    map[carobthread.AttemptID]*carobthread.ShardReply{},
 		done:       make(chan Outcome, 1),
 	}
-	search.start(id, query, params.Deadline)
-	select {
-	case outcome := <-query.done:
-		return outcome, nil
-	case <-ctx.Done():
-		search.abandon(id)
-		return Outcome{AttemptEvents: query.attemptEvents}, ctx.Err()
+	search.start(id, query, &params)
+	granted := params.Granted
+	for {
+		select {
+		case outcome := <-query.done:
+			return outcome, nil
+		case <-granted:
+			search.step(carobthread.Event{Grant: &carobthread.GrantArrived{Query: id}})
+			granted = nil
+		case <-ctx.Done():
+			search.abandon(id)
+			return Outcome{AttemptEvents: query.attemptEvents}, ctx.Err()
+		}
 	}
 }
 
 // start passes a new query to the core; a query in which the core panics isn't kept.
-func (search *Search) start(id carobthread.QueryID, query *pendingQuery, deadline carobthread.Instant) {
+func (search *Search) start(id carobthread.QueryID, query *pendingQuery, params *Query) {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
 	search.pending[id] = query
@@ -74,7 +92,7 @@
 		}
 	}()
 	search.stepLocked(carobthread.Event{Query: &carobthread.QueryArrived{
-		Query: id, Service: query.request.Service, Deadline: deadline, Size: len(query.request.Body),
+		Query: id, Service: query.request.Service, Deadline: params.Deadline, Size: len(query.request.Body), QueryLimits: params.Limits,
 	}})
 	started = true
 }
--- a/server/search.go
+++ b/server/search.go
@@ -48,6 +48,8 @@
 	Observations() []carobthread.Observation
 	// CutOffDataCentres returns the data centres that do not answer, if hosts elsewhere can serve callers better than this one.
 	CutOffDataCentres() []string
+	// HedgeDelay returns the time after which an attempt of the service counts as late, or 0 if it is unknown.
+	HedgeDelay(service string) time.Duration
 }
 
 // Search serves callers' queries; it owns the query path's core.
@@ -145,6 +147,13 @@
 	return search.options.QueryCore.CutOffDataCentres()
 }
 
+// HedgeDelay returns the time after which an attempt of the service counts as late, or 0 if it is unknown.
+func (search *Search) HedgeDelay(service string) time.Duration {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return search.options.QueryCore.HedgeDelay(service)
+}
+
 // MarkReachable tells the core that a host of the data centre has answered.
 func (search *Search) MarkReachable(dataCentre string) {
 	search.step(carobthread.Event{Reach: &carobthread.DataCentreReached{DataCentre: dataCentre}})
--- a/settings.go
+++ b/settings.go
@@ -84,6 +84,19 @@
 	// Memory is the key memory, the memory limit of the process in bytes, which it must not reach, default none, 16MB to
 	// 1048576MB.
 	Memory int
+	// ProcessorShare is the key processor-share, the share of each processor that the process may use, default none, 0 to 1024.
+	ProcessorShare float64
+	// Link is the key link, the bandwidth of the host's network link in bits per second, default none, 0 to 10000000Mbps.
+	Link float64
+}
+
+// Capacity returns the number of processors that the host may use in effect, or 0 if the settings do not state both the
+// processors' share and the link.
+func (settings *RuntimeSettings) Capacity() float64 {
+	if settings.ProcessorShare <= 0 || settings.Link <= 0 {
+		return 0
+	}
+	return float64(max(1, settings.Processors)) * settings.ProcessorShare
 }
 
 // PeerSettings is section [peers], which is optional.
--- a/tracker/record.go
+++ b/tracker/record.go
@@ -23,8 +23,10 @@
 
 const (
 	numberBase       = 36 // the highest base of strconv, for the shortest text on the wire
-	recordFieldCount = 7
+	recordFieldCount = 7  // without the capacity, which only hosts that state one have
 	leavingFlag      = "l"
+	// capacityUnits is the number of units of a record's capacity per processor.
+	capacityUnits = 1000
 )
 
 // Record is the gossiped state of one host.
@@ -42,6 +44,8 @@
 	HealthVersion uint32 // raised by the host itself, within an incarnation
 	Health        Health
 	Leaving       bool
+	// Capacity is the host's capacity in thousandths of a processor, or 0 if it does not state one.
+	Capacity uint32
 }
 
 // merge returns the merged record; the order of the two does not matter.
@@ -76,7 +80,7 @@
 func (record Record) host() carobthread.Host {
 	return carobthread.Host{
 		Name: record.Name, DataCentre: record.DataCentre, PeerAddress: record.PeerAddress,
-		Incarnation: record.Incarnation, State: record.state(),
+		Incarnation: record.Incarnation, State: record.state(), Capacity: float64(record.Capacity) / capacityUnits,
 	}
 }
 
@@ -91,26 +95,34 @@
 	if record.Leaving {
 		flags += leavingFlag
 	}
-	return []byte(strings.Join([]string{
+	fields := []string{
 		record.Name, record.DataCentre, record.PeerAddress,
 		strconv.FormatInt(int64(record.Incarnation.Start), numberBase),
 		strconv.FormatUint(record.Incarnation.Random, numberBase),
 		strconv.FormatUint(uint64(record.HealthVersion), numberBase), flags,
-	}, " ")), nil
+	}
+	if record.Capacity > 0 {
+		fields = append(fields, strconv.FormatUint(uint64(record.Capacity), numberBase))
+	}
+	return []byte(strings.Join(fields, " ")), nil
 }
 
 // UnmarshalText decodes the format that MarshalText writes.
 func (record *Record) UnmarshalText(text []byte) error {
 	fields := strings.Split(string(text), " ")
-	if len(fields) != recordFieldCount || fields[0] == "" || fields[1] == "" {
-		return fmt.Errorf("host record %q: expected %d fields", text, recordFieldCount)
+	if len(fields) < recordFieldCount || len(fields) > recordFieldCount+1 || fields[0] == "" || fields[1] == "" {
+		return fmt.Errorf("host record %q: expected %d or %d fields", text, recordFieldCount, recordFieldCount+1)
 	}
 	start, startErr := strconv.ParseInt(fields[3], numberBase, 64)
 	random, randomErr := strconv.ParseUint(fields[4], numberBase, 64)
 	healthVersion, versionErr := strconv.ParseUint(fields[5], numberBase, 32)
 	flags, leaving := strings.CutSuffix(fields[6], leavingFlag)
 	health, healthErr := strconv.ParseUint(flags, numberBase, 8)
-	for _, err := range []error{startErr, randomErr, versionErr, healthErr} {
+	capacity, capacityErr := uint64(0), error(nil)
+	if len(fields) > recordFieldCount {
+		capacity, capacityErr = strconv.ParseUint(fields[recordFieldCount], numberBase, 32)
+	}
+	for _, err := range []error{startErr, randomErr, versionErr, healthErr, capacityErr} {
 		if err != nil {
 			return fmt.Errorf("host record %q: %w", text, err)
 		}
@@ -121,7 +133,7 @@
 	*record = Record{
 		Name: fields[0], DataCentre: fields[1], PeerAddress: fields[2],
 		Incarnation:   carobthread.Incarnation{Start: carobthread.Instant(start), Random: random},
-		HealthVersion: uint32(healthVersion), Health: Health(health), Leaving: leaving,
+		HealthVersion: uint32(healthVersion), Health: Health(health), Leaving: leaving, Capacity: uint32(capacity),
 	}
 	return nil
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -101,6 +101,7 @@
 	tracker := &Tracker{
 		self: Record{
 			Name: self.Name, DataCentre: self.DataCentre, PeerAddress: self.PeerAddress, Incarnation: self.Incarnation,
+			Capacity: uint32(self.Capacity * capacityUnits),
 		},
 		marks: map[string]SearcherMark{}, updates: newUpdates(),
 		random: rand.New(rand.NewPCG(randomSeed, uint64(self.Incarnation.Start)^self.Incarnation.Random)),
