Give coordinators half of the retry slack and of the connections

Cause: equal shares of the budget and of the connections leave the hosts that gather most queries with a share too small for one hedge per window, and a fifth of the pairs of hosts and searchers without a connection.

Change: while any host may coordinate queries of another, coordinators share half of the retry slack and all hosts the other half, each divided by the greatest number of hosts of its kind seen. At searchers that serve only delegable queries, coordinators also have half of the connections and three quarters of a rate limit; a coordinator's hedge may use a searcher that is assigned to other hosts. A repeated query is refused at once if the budget does not permit it to reach its floor. Nothing changes where no host states twice the capacity of another.

--- a/delegator/coordinator.go
+++ b/delegator/coordinator.go
@@ -103,6 +103,26 @@
 	return other.Capacity > 0 && host.Capacity >= MinCapacityRatio*other.Capacity
 }
 
+// CountCoordinators returns the number of hosts of the view that may coordinate queries of another one, and whether this host
+// is one of them. Hosts that are leaving do not count; hosts that are silent do, since they may be merely unreachable.
+func CountCoordinators(view *carobthread.View) (count int, coordinates bool) {
+	least := carobthread.Host{}
+	for i := range view.Hosts {
+		host := &view.Hosts[i]
+		if host.State != carobthread.HostLeaving && host.Capacity > 0 && (least.Capacity == 0 || host.Capacity < least.Capacity) {
+			least = *host
+		}
+	}
+	for i := range view.Hosts {
+		host := &view.Hosts[i]
+		if host.State != carobthread.HostLeaving && Coordinates(host, &least) {
+			count++
+			coordinates = coordinates || host.Name == view.Self
+		}
+	}
+	return count, coordinates
+}
+
 // applyView replaces the coordinators by the live hosts with enough capacity and keeps what is known of them.
 func (delegator *Delegator) applyView(view *carobthread.View) {
 	for i := range view.Hosts {
@@ -239,9 +259,9 @@
 
 // Delegable reports whether queries of the service may be delegated: another host may repeat them at a second searcher of
 // each shard, and there is more than one shard.
-func Delegable(config *carobthread.Service, layout *carobthread.Layout) bool {
+func Delegable(config *carobthread.Service, shards int) bool {
 	return config.Kind == carobthread.KindSearch && config.MaxSearchers >= 2 && !config.AtMostOnce && config.FloorRequired &&
-		config.SoftDeadline > 0 && layout != nil && len(layout.Shards) > 1
+		config.SoftDeadline > 0 && shards > 1
 }
 
 func (delegator *Delegator) configure(config *carobthread.Config) {
@@ -258,7 +278,7 @@
 	delegator.services = make(map[string]*service, len(config.Services))
 	for i := range config.Services {
 		current := &config.Services[i]
-		if layout := layouts[current.Name]; Delegable(current, layout) {
+		if layout := layouts[current.Name]; layout != nil && Delegable(current, len(layout.Shards)) {
 			delegator.services[current.Name] = newService(current, layout, centreOf)
 		}
 	}
--- a/errors.go
+++ b/errors.go
@@ -49,6 +49,8 @@
 	ReasonMemory Reason = "memory"
 	// ReasonSlowCaller is a caller that sends its request too slowly.
 	ReasonSlowCaller Reason = "slow-caller"
+	// ReasonRetryBudget means that the retry budget permits no further attempt.
+	ReasonRetryBudget Reason = "retry-budget"
 	// ReasonMalformed is a request or message that can't be read.
 	ReasonMalformed Reason = "malformed-request"
 	// ReasonInternal is an unexpected error of the host.
--- a/gatherer/backpressure.go
+++ b/gatherer/backpressure.go
@@ -43,12 +43,17 @@
 		return
 	}
 	// The highest number of hosts known at once counts, since hosts that are out of sight may still send.
-	share := searcher.rateLimit / float64(gatherer.budgetHosts)
-	switch connections := searcher.config.Connections; {
+	limit, connections, hosts := searcher.rateLimit, searcher.config.Connections, gatherer.budgetHosts
+	if gatherer.reserves(searcher) {
+		connections, _ = gatherer.sharedConnections(searcher)
+		limit, hosts = gatherer.coordinators.shareOf(limit, hosts)
+	}
+	share := limit / float64(hosts)
+	switch {
 	case searcher.unheld:
 		share *= unheldShare
-	case connections > 0 && connections < gatherer.budgetHosts:
-		share = searcher.rateLimit / float64(connections)
+	case connections > 0 && connections < hosts:
+		share = limit / float64(connections)
 	}
 	searcher.rate.Set(gatherer.now, share)
 }
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"carobthread"
-	"carobthread/assigner"
 	"carobthread/limiter"
 )
 
@@ -35,6 +34,7 @@
 	gatherer.configureServices(config)
 	gatherer.configureGroups()
 	gatherer.linkShards()
+	gatherer.assignSearchers()
 	gatherer.capEjections()
 	gatherer.configured = true
 	gatherer.emitColdChanges()
@@ -71,7 +71,6 @@
 		row.centre.searchers++
 		row.known = true
 		row.local = gatherer.isLocal(row)
-		row.unheld = gatherer.isUnheld(row)
 		row.limit.Resize(searcher.Slots)
 	}
 }
@@ -81,10 +80,6 @@
 	return gatherer.dataCentre == "" || searcher.config.DataCentre == gatherer.dataCentre
 }
 
-func (gatherer *Gatherer) isUnheld(searcher *searcherRow) bool {
-	return !assigner.InSubset(gatherer.self, searcher.config.Name, searcher.config.Connections, gatherer.liveHosts)
-}
-
 func (gatherer *Gatherer) configureServices(config *carobthread.Config) {
 	for _, row := range gatherer.serviceList {
 		row.known = false
@@ -231,7 +226,7 @@
 func (gatherer *Gatherer) linkShards() {
 	for _, searcher := range gatherer.searcherList {
 		searcher.servedShards = searcher.servedShards[:0]
-		searcher.serviceCount = 0
+		searcher.serviceCount, searcher.delegableCount = 0, 0
 	}
 	byPriority := slices.DeleteFunc(slices.Clone(gatherer.serviceList), func(service *serviceRow) bool { return !service.known })
 	slices.SortStableFunc(byPriority, func(left, right *serviceRow) int { return cmp.Compare(left.config.Priority, right.config.Priority) })
@@ -239,8 +234,12 @@
 		for _, layout := range service.layouts {
 			layout.link()
 		}
+		delegable := service.delegable()
 		for _, replica := range service.replicas {
 			replica.searcher.serviceCount++
+			if delegable {
+				replica.searcher.delegableCount++
+			}
 		}
 	}
 	for _, layout := range gatherer.retiredLayouts {
@@ -327,6 +326,7 @@
 	}
 	gatherer.liveHosts = max(1, live)
 	gatherer.budgetHosts = max(gatherer.budgetHosts, gatherer.liveHosts)
+	gatherer.coordinators.update(gatherer.now, view)
 	gatherer.configureGroups()
 	gatherer.localHosts = 0
 	for _, host := range view.Hosts {
@@ -337,7 +337,9 @@
 	gatherer.localHosts = max(1, gatherer.localHosts)
 	for _, searcher := range gatherer.searcherList {
 		searcher.local = gatherer.isLocal(searcher)
-		searcher.unheld = gatherer.isUnheld(searcher)
+	}
+	gatherer.assignSearchers()
+	for _, searcher := range gatherer.searcherList {
 		gatherer.shareRateLimit(searcher)
 	}
 	gatherer.connect()
@@ -350,7 +352,8 @@
 		if !searcher.known {
 			continue
 		}
-		if count, changed := searcher.connectionShare.Update(searcher.config.Connections, gatherer.liveHosts); changed {
+		connections, hosts := gatherer.sharedConnections(searcher)
+		if count, changed := searcher.connectionShare.Update(connections, hosts); changed {
 			gatherer.emitConnect(searcher, count)
 		}
 	}
@@ -392,6 +395,9 @@
 		return
 	}
 	gatherer.connect()
+	if gatherer.coordinators.most > 0 {
+		gatherer.configureGroups()
+	}
 	gatherer.updateBackpressured()
 	gatherer.searcherList = slices.DeleteFunc(gatherer.searcherList, func(searcher *searcherRow) bool {
 		// The draining state must survive a short absence from the configuration.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -32,10 +32,11 @@
 	liveHosts  int
 	localHosts int
 	// budgetHosts is the divisor of the retry budgets: the highest number of live hosts known at once.
-	budgetHosts int
-	retryBudget carobthread.RetryBudget
-	startedAt   carobthread.Instant
-	stop        stopper.Stop
+	budgetHosts  int
+	retryBudget  carobthread.RetryBudget
+	coordinators coordinatorCounts
+	startedAt    carobthread.Instant
+	stop         stopper.Stop
 
 	services    map[string]*serviceRow
 	serviceList []*serviceRow
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -45,11 +45,13 @@
 	return row
 }
 
-// configureGroups divides the budget of each group by the number of live hosts.
+// configureGroups divides the budget of each group by the number of live hosts and of coordinators.
 func (gatherer *Gatherer) configureGroups() {
 	budget := &gatherer.retryBudget
+	coordinates := gatherer.coordinators.usesReserve(gatherer.now, budget.Window)
 	for _, row := range gatherer.groups {
 		row.slidingBudget.Configure(budget.Ratio, budget.Slack, gatherer.budgetHosts, budget.Window)
+		row.slidingBudget.Split(gatherer.coordinators.most, coordinates)
 	}
 }
 
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -63,6 +63,9 @@
 	}
 	if !arrived.Repeated {
 		gatherer.countRequest(plan.layout)
+	} else if !gatherer.permitsRepeat(service, plan) {
+		gatherer.refuse(arrived, carobthread.ReasonRetryBudget, 0)
+		return
 	}
 	if gatherer.usesCurrentPolicy() && !gatherer.admit(service, plan, arrived, deadline) {
 		return
@@ -211,7 +214,7 @@
 	}
 	for shard := range query.current.shards {
 		if arrived.Repeated {
-			gatherer.recover(query, uint32(shard))
+			gatherer.sendRepeated(query, uint32(shard))
 			continue
 		}
 		gatherer.dispatch(query, uint32(shard), carobthread.AttemptFirst)
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -145,8 +145,10 @@
 	servedShards    []*shardRow
 	// workSent is the expected work of all attempts sent to the searcher.
 	workSent time.Duration
-	// serviceCount is the number of services that have the searcher in a layout.
-	serviceCount int
+	// serviceCount is the number of services that have the searcher in a layout, delegableCount that of those among them whose
+	// queries may be delegated.
+	serviceCount   int
+	delegableCount int
 
 	draining  bool
 	drainedAt carobthread.Instant
--- a/limiter/sliding_budget.go
+++ b/limiter/sliding_budget.go
@@ -28,9 +28,13 @@
 	ratio float64
 	slack float64
 	// hosts is the number of hosts that share the slack.
-	hosts     int
-	window    time.Duration
-	startedAt carobthread.Instant
+	hosts int
+	// coordinators is the number of hosts that share half of the slack among them, or 0 if all of it is shared by all hosts;
+	// coordinates is set if this host is one of them.
+	coordinators int
+	coordinates  bool
+	window       time.Duration
+	startedAt    carobthread.Instant
 	// currentSlot is the number of the latest slot, counted from the epoch.
 	currentSlot int64
 	requests    [windowSlots + 1]int
@@ -48,6 +52,18 @@
 	budget.window = window
 }
 
+// Split reserves half of the slack for the coordinators, the hosts that handle the requests of others, if there are any;
+// coordinates is set if this host was one of them during the whole last window.
+func (budget *SlidingBudget) Split(coordinators int, coordinates bool) {
+	budget.coordinators, budget.coordinates = coordinators, coordinates
+}
+
+// Permits reports whether Take would succeed.
+func (budget *SlidingBudget) Permits(now carobthread.Instant) bool {
+	budget.advance(now)
+	return budget.remaining(now) >= 1
+}
+
 // CountRequest counts one request of the group.
 func (budget *SlidingBudget) CountRequest(now carobthread.Instant) {
 	budget.advance(now)
@@ -56,8 +72,7 @@
 
 // Take counts one extra attempt and returns true, or returns false if the limit is reached.
 func (budget *SlidingBudget) Take(now carobthread.Instant) bool {
-	budget.advance(now)
-	if budget.remaining(now) < 1 {
+	if !budget.Permits(now) {
 		return false
 	}
 	budget.extras[0]++
@@ -83,13 +98,28 @@
 			requests += budget.requests[slot]
 		}
 	}
-	permitted := budget.ratio * float64(requests)
-	if now.Sub(budget.startedAt) >= budget.window {
-		permitted += budget.slack / float64(budget.hosts) * (1 - startupSlackShare)
-	} else {
-		permitted += budget.slack / float64(max(budget.hosts, minStartupHosts)) * startupSlackShare
+	return budget.ratio*float64(requests) + budget.slackShare(now) - float64(extras)
+}
+
+// slackShare returns the part of the slack that this host may use in a window that ends now.
+//
+// While coordinators have half of it, no part is kept for the first window: with tens of hosts, the third that would be
+// available then is less than one attempt, and without the rest a host would not have one attempt in later windows either.
+func (budget *SlidingBudget) slackShare(now carobthread.Instant) float64 {
+	first := now.Sub(budget.startedAt) < budget.window
+	switch {
+	case budget.coordinators > 0 && first:
+		return 0
+	case budget.coordinators > 0:
+		share := budget.slack / 2 / float64(budget.hosts)
+		if budget.coordinates {
+			share += budget.slack / 2 / float64(budget.coordinators)
+		}
+		return share
+	case first:
+		return budget.slack / float64(max(budget.hosts, minStartupHosts)) * startupSlackShare
 	}
-	return permitted - float64(extras)
+	return budget.slack / float64(budget.hosts) * (1 - startupSlackShare)
 }
 
 // slot returns the number of the slot that contains the time, counted from the epoch.
