Test delegation and wait for a late coordinator without budget

Cause: a query whose coordinator was not heard of in time failed at once where the retry budget did not permit this host to repeat it, although the coordinator might still have answered. A query of one version of the routing table could also have moved to another one, in which its searchers are not counted.

Change: such a query waits for its coordinator until the budget permits the repetition. Delegated and repeated queries keep their layout; a query that is taken back keeps its soft deadline. The soak test gives its hosts capacities, so that the hosts that it kills, pauses and stops are coordinators of the first one, and checks the searchers of each search.

--- a/cmd/carobthreadd/delegation_test.go
+++ b/cmd/carobthreadd/delegation_test.go
@@ -10,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"carobthread/explainer"
 	"carobthread/runner"
 )
 
@@ -45,7 +47,7 @@
 	return fleet
 }
 
-// checkRuns checks that no search reached more searchers of a shard than permitted, and that none ran that was refused.
+// checkRuns checks that no search ran at more searchers of a shard than permitted, and that none ran that was refused.
 func (fleet *forwardingSite) checkRuns(t *testing.T, answers map[string]reply) {
 	t.Helper()
 	for shard, searchers := range fleet.shards {
@@ -55,8 +57,10 @@
 				reached[id]++
 			}
 		}
+		for id, count := range reached {
+			assert.Check(t, count <= 2, "search %s ran at %d searchers of shard %d", id, count, shard)
+		}
 		for id, answer := range answers {
-			assert.Check(t, reached[id] <= 2, "search %s reached %d searchers of shard %d", id, reached[id], shard)
 			if answer.status == http.StatusServiceUnavailable {
 				assert.Check(t, reached[id] == 0, "search %s was refused as not run but ran at shard %d", id, shard)
 			}
@@ -118,6 +122,25 @@
 	before := fleet.processes[0].status(t).Delegation
 	assert.Check(t, before.Answered+20 >= uint64(len(answers)), "%+v", before)
 
+	for number := 0; ; number++ {
+		// Successful requests whose ID has such a hash are logged.
+		id := fmt.Sprintf("explain-%d", number)
+		if xxhash.Sum64String(id)%256 != 0 {
+			continue
+		}
+		assert.Equal(t, send(&http.Client{Timeout: requestTimeout}, fleet.processes[0], http.MethodGet, "/search/x", id, nil).status, http.StatusOK)
+		reader := explainer.NewReader(id)
+		for _, entry := range fleet.processes {
+			assert.NilError(t, reader.Read(strings.NewReader(entry.log.String())))
+		}
+		hosts := reader.History().HostLogs
+		assert.Equal(t, len(hosts), 2, "%+v", hosts)
+		assert.Equal(t, hosts[0].Decisions[0].Event, "delegated")
+		assert.Equal(t, hosts[0].Decisions[0].Fields["coordinator"], hosts[1].Host)
+		assert.Equal(t, hosts[1].Decisions[len(hosts[1].Decisions)-1].Fields["entry-host"], hosts[0].Host)
+		break
+	}
+
 	paused := fleet.processes[1]
 	answers = fleet.searchWhile("paused", func() {
 		time.Sleep(200 * time.Millisecond)
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -97,7 +97,9 @@
 }
 
 func runSeed(t *testing.T, seed uint64) {
-	run := &soak{t: t, fleet: startForwarding(t), availableHosts: make(chan int, hostCount), version: make(chan uint64, 1)}
+	// The faults of hosts are those of the coordinators of the first host.
+	fleet := startForwardingWith(t, [hostCount]string{smallHost, largeHost, largeHost})
+	run := &soak{t: t, fleet: fleet, availableHosts: make(chan int, hostCount), version: make(chan uint64, 1)}
 	run.version <- 1
 	for index, entry := range run.fleet.processes {
 		run.peerAddresses = append(run.peerAddresses, entry.addresses[1])
@@ -125,6 +127,7 @@
 	}
 	run.awaitRecovery()
 	workload.end(t)
+	run.fleet.checkRuns(t, nil)
 	for _, unexpected := range workload.unexpected {
 		// Killed processes close their connections; anything else violates a guarantee.
 		assert.Check(t, strings.Contains(unexpected, "EOF") || strings.Contains(unexpected, "connection re") || strings.Contains(unexpected, "exceeded"), unexpected)
--- a/delegator/coordinator.go
+++ b/delegator/coordinator.go
@@ -57,6 +57,7 @@
 		target.acceptMean, target.acceptDeviation = took, took/2
 		return
 	}
+	took = min(took, 2*target.acceptTimeout()) // one pause must not raise the time that later ones are waited for by much
 	deviation := (took - target.acceptMean).Abs()
 	target.acceptDeviation += (deviation - target.acceptDeviation) / weight
 	target.acceptMean += (took - target.acceptMean) / weight
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -33,6 +33,8 @@
 	abortGrace = 2 * time.Millisecond
 	// returnMargin is the time reserved at the end of a query for the way of the answer, beyond the measured time.
 	returnMargin = 3 * time.Millisecond
+	// recheckInterval is the time between two checks of whether a query that may not be repeated yet may be.
+	recheckInterval = 10 * time.Millisecond
 	// hedgeDelayDivisor divides the soft deadline; the result is the time of the grant if the coordinator states none.
 	hedgeDelayDivisor = 3
 )
@@ -61,14 +63,20 @@
 	sentAt carobthread.Instant
 	// due is the time of the next change of state without an event.
 	due carobthread.Instant
-	// extended is set once a missing acceptance was waited for again.
-	extended bool
 	// abortReason is why the query was aborted.
 	abortReason carobthread.Reason
 }
 
+// Options are the dependencies of a Delegator.
+type Options struct {
+	// MayRepeat reports whether the retry budget permits this host to send a query of the service to the shards after its
+	// coordinator may have; if nil, it always does.
+	MayRepeat func(service string) bool
+}
+
 // Delegator is the state machine of one host; it is not safe for concurrent use.
 type Delegator struct {
+	options      Options
 	now          carobthread.Instant
 	self         carobthread.Host
 	services     map[string]*service
@@ -83,8 +91,12 @@
 }
 
 // New returns a Delegator that delegates nothing before it has a configuration and a view with coordinators.
-func New() *Delegator {
+func New(options Options) *Delegator {
+	if options.MayRepeat == nil {
+		options.MayRepeat = func(string) bool { return true }
+	}
 	return &Delegator{
+		options:  options,
 		services: map[string]*service{}, coordinators: map[string]*coordinator{}, centres: map[string][]*coordinator{}, queries: map[uint64]*query{},
 		stats: Stats{Refused: map[carobthread.Reason]uint64{}, Fallbacks: map[carobthread.Reason]uint64{}},
 	}
@@ -162,7 +174,7 @@
 	if left <= target.acceptTimeout() {
 		return false
 	}
-	row.coordinator, row.state, row.sentAt, row.extended = target, stateSent, delegator.now, false
+	row.coordinator, row.state, row.sentAt = target, stateSent, delegator.now
 	row.tried = append(row.tried, target.host.Name)
 	row.due = delegator.now.Add(min(target.acceptTimeout(), row.service.hedgeDelay()))
 	target.outstanding++
@@ -233,7 +245,7 @@
 		}
 	}
 	delegator.stats.Fallbacks[reason]++
-	delegator.emit(Action{Handle: &Handle{ID: row.id, Reason: reason}})
+	delegator.emit(Action{Handle: &Handle{ID: row.id, SoftDeadline: row.softDeadline, Reason: reason}})
 }
 
 // takeBack handles a query on this host that its coordinator may have sent to one searcher of each shard.
@@ -241,7 +253,9 @@
 	delegator.remove(row)
 	delegator.stats.Fallbacks[reason]++
 	delegator.emit(Action{Cancel: &Message{ID: row.id, Coordinator: row.coordinator.host.Name}})
-	delegator.emit(Action{Handle: &Handle{ID: row.id, MaxSearchers: row.service.maxSearchers - 1, Repeated: true, Reason: reason}})
+	delegator.emit(Action{Handle: &Handle{
+		ID: row.id, MaxSearchers: row.service.maxSearchers - 1, SoftDeadline: row.softDeadline, Repeated: true, Reason: reason,
+	}})
 }
 
 func (delegator *Delegator) fail(row *query, reason carobthread.Reason) {
@@ -300,14 +314,18 @@
 			row.coordinator.avoidSilent(delegator.now)
 		}
 		delegator.fail(row, reason)
-	case row.state == stateSent && !row.extended && delegator.now.Sub(row.due) > lateTolerance:
+	case row.state == stateSent && delegator.now.Sub(row.due) > lateTolerance && row.due < row.sentAt.Add(row.service.hedgeDelay()):
 		// This host was late itself, so the acceptance may have arrived and not been processed yet.
-		row.extended = true
 		row.due = delegator.now.Add(acceptSlack)
 	case row.state == stateSent:
 		row.coordinator.avoidSilent(delegator.now)
+		if !delegator.options.MayRepeat(row.service.name) {
+			// A late acceptance is the only chance of an answer.
+			row.due = min(row.deadline, delegator.now.Add(recheckInterval))
+			return
+		}
 		delegator.abort(row)
-	case row.state == stateAccepted && row.coordinator.silent(delegator.now):
+	case row.state == stateAccepted && row.coordinator.silent(delegator.now) && delegator.options.MayRepeat(row.service.name):
 		delegator.abort(row)
 	case row.state == stateAccepted:
 		row.state = stateGranted
--- a/delegator/event.go
+++ b/delegator/event.go
@@ -96,6 +96,8 @@
 	ID uint64
 	// MaxSearchers is the maximum number of searchers per shard, or 0 for that of the service.
 	MaxSearchers int
+	// SoftDeadline is the soft deadline of a query that has been sent to a coordinator, or 0.
+	SoftDeadline carobthread.Instant
 	// Repeated is set if a coordinator may have sent the query to the shards.
 	Repeated bool
 	// Reason is the cause if the query was sent to a coordinator before, or empty.
--- a/gatherer/delegation.go
+++ b/gatherer/delegation.go
@@ -104,6 +104,16 @@
 	return permitted >= service.required(len(plan.layout.shards))
 }
 
+// MayRepeat reports whether the retry budget permits a query of the service that another host may have sent to the shards.
+func (gatherer *Gatherer) MayRepeat(service string) bool {
+	row := gatherer.services[service]
+	if row == nil {
+		return false
+	}
+	plan := gatherer.planFor(row)
+	return plan.layout != nil && gatherer.permitsRepeat(row, plan)
+}
+
 // sendRepeated sends the first attempt of a repeated query to a shard as an extra one. Where the budget does not permit it,
 // the shard is given up at once: the budgets of a host that delegates refill too slowly to wait for.
 func (gatherer *Gatherer) sendRepeated(query *queryRow, shard uint32) {
@@ -122,6 +132,7 @@
 		query.maxSearchers = min(query.maxSearchers, limits.MaxSearchers)
 	}
 	query.withheld = limits.Withheld
+	query.fixed = limits.Withheld || limits.Repeated
 }
 
 // grant permits the query to use second searchers and checks at once the shards that have waited for this.
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -199,7 +199,7 @@
 // left.
 func (gatherer *Gatherer) move(query *queryRow) moveResult {
 	service := query.service
-	if query.moves >= maxMoves || gatherer.now.Add(service.latency.median) >= query.deadline {
+	if query.fixed || query.moves >= maxMoves || gatherer.now.Add(service.latency.median) >= query.deadline {
 		return moveNotWorthwhile
 	}
 	plan := gatherer.bestPlan(service, &query.current)
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
 
 	"carobthread"
 	"carobthread/gatherer"
@@ -69,9 +70,15 @@
 			if data.HasArg("deadline") {
 				arrived.Deadline = run.now.Add(run.duration(data, "deadline"))
 			}
+			arrived.QueryLimits = carobthread.QueryLimits{
+				Withheld: data.HasArg("withheld"), Repeated: data.HasArg("repeated"),
+				MaxSearchers: run.number(data, "searchers", 0), Generation: uint32(run.number(data, "generation", 0)),
+			}
 			output += run.step(carobthread.Event{Query: &arrived})
 		}
 		return output
+	case "grant":
+		return run.step(carobthread.Event{Grant: &carobthread.GrantArrived{Query: carobthread.QueryID(run.number(data, "query", 0))}})
 	case "reply":
 		return run.replies(data)
 	case "report":
@@ -158,7 +165,7 @@
 		config.Services[0].Preference, config.Services[0].SoftDeadline = carobthread.LatencyFirst, run.duration(data, "soft")
 	}
 	if data.HasArg("groups") { // The replicas of each shard share a retry budget, and three quarters of the shards are required.
-		config.RetryBudget = carobthread.RetryBudget{Ratio: 0.2, Slack: 300, Window: 10 * time.Second}
+		config.RetryBudget = carobthread.RetryBudget{Ratio: 0.2, Slack: float64(run.number(data, "slack", 300)), Window: 10 * time.Second}
 		config.Services[0].CoverageFloor, config.Services[0].FloorRequired = 0.75, true
 		for i := range config.Layouts {
 			for shard := range config.Layouts[i].Shards {
@@ -195,12 +202,18 @@
 	return config
 }
 
-// view parses hosts=NAME@DATA-CENTRE+...; the first one is this host.
+// view parses hosts=NAME@DATA-CENTRE:CAPACITY+...; the first one is this host, and the capacity may be left out.
 func (run *script) view(data *datadriven.TestData) carobthread.View {
 	view := carobthread.View{}
 	for _, host := range strings.Split(run.text(data, "hosts", ""), "+") {
 		name, dataCentre, _ := strings.Cut(host, "@")
-		view.Hosts = append(view.Hosts, carobthread.Host{Name: name, DataCentre: dataCentre, State: carobthread.HostLive})
+		dataCentre, capacity, _ := strings.Cut(dataCentre, ":")
+		row := carobthread.Host{Name: name, DataCentre: dataCentre, State: carobthread.HostLive}
+		if capacity != "" {
+			_, err := fmt.Sscan(capacity, &row.Capacity)
+			assert.NilError(run.t, err)
+		}
+		view.Hosts = append(view.Hosts, row)
 	}
 	view.Self = view.Hosts[0].Name
 	return view
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -105,6 +105,8 @@
 	// used.
 	maxSearchers int
 	withheld     bool
+	// fixed is set if the query must keep its layout, in which its searchers are counted.
+	fixed bool
 }
 
 // attemptRow is one attempt in flight.
--- a/limiter/sliding_budget_test.go
+++ b/limiter/sliding_budget_test.go
@@ -52,6 +52,36 @@
 	})
 }
 
+// Guards against hosts that together use more than the slack in any window while coordinators share half of it, and against a
+// host of a large fleet that can't send a single extra attempt.
+func TestSlidingBudgetSplitsSlackAmongCoordinators(t *testing.T) {
+	const (
+		slack        = 210.0
+		hosts        = 85
+		coordinators = 8
+		window       = 10 * time.Second
+	)
+	start := carobthread.Instant(time.Hour)
+	sum := 0
+	for host := range hosts {
+		budget := limiter.NewSlidingBudget(start)
+		budget.Configure(0, slack, hosts, window)
+		budget.Split(coordinators, host < coordinators)
+		assert.Assert(t, !budget.Permits(start.Add(window/2)))
+		taken := 0
+		for now := start.Add(window); budget.Take(now); now = now.Add(window / 100) {
+			taken++
+		}
+		want := 1
+		if host < coordinators {
+			want += 13
+		}
+		assert.Equal(t, taken, want)
+		sum += taken
+	}
+	assert.Assert(t, float64(sum) <= slack, "%d extra attempts", sum)
+}
+
 // Guards against a refund of an old attempt that takes a newer one out of the window, so that too many follow.
 func TestSlidingBudgetRefundsAttemptsOwnSlot(t *testing.T) {
 	const (
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -321,3 +321,37 @@
 	assert.Equal(t, runState(err), carobthread.MayHaveRun, "%v", err)
 	assert.NilError(t, peer.Call(t.Context(), "a", "echo", nil, nil))
 }
+
+// notified is a handler that notifies its caller and records the notifications that it receives.
+type notified struct {
+	messenger atomic.Pointer[messenger.Messenger]
+	received  chan string
+}
+
+func (handler *notified) Handle(ctx context.Context, _, _ string, _ json.RawMessage) (any, error) {
+	return "done", handler.messenger.Load().NotifyCaller(ctx, "started", 7)
+}
+
+func (handler *notified) HandleNotification(peer, method string, params json.RawMessage) {
+	handler.received <- fmt.Sprintf("%s from %s: %s", method, peer, params)
+}
+
+// Guards against notifications that are lost, get an answer or end their link, in either direction.
+func TestNotifications(t *testing.T) {
+	accepting := &notified{received: make(chan string, 4)}
+	served, address := serve(t, accepting)
+	accepting.messenger.Store(served)
+	dialling := &notified{received: make(chan string, 4)}
+	peer := messenger.New(messenger.Options{
+		Self: host("b", "east", "", 5), Seeds: []carobthread.Host{host("a", "east", address, 0)}, Handler: dialling, Timer: timer.New(), Logger: zerolog.Nop(),
+	})
+	t.Cleanup(peer.Close)
+	assert.ErrorContains(t, peer.Notify("a", "early", 1), "no open link")
+	for range 2 {
+		var result string
+		assert.NilError(t, peer.Call(t.Context(), "a", "run", nil, &result))
+		assert.Equal(t, <-dialling.received, "started from a: 7")
+		assert.NilError(t, peer.Notify("a", "proceed", 1))
+		assert.Equal(t, <-accepting.received, "proceed from b: 1")
+	}
+}
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -228,7 +228,7 @@
 
 func (host *ForwardingHost) buildDelegation(self carobthread.Host) {
 	host.delegation = server.NewDelegation(server.DelegationOptions{
-		Self: self, Search: host.search, Core: delegator.New(), Peers: host.messenger, Notifier: host.messenger, Timer: host.timer, Logger: host.logger,
+		Self: self, Search: host.search, Core: delegator.New(delegator.Options{MayRepeat: host.search.MayRepeat}), Peers: host.messenger, Notifier: host.messenger, Timer: host.timer, Logger: host.logger,
 	})
 	host.coordination = server.NewCoordination(server.CoordinationOptions{
 		Search: host.search, Notifier: host.messenger, Timer: host.timer, Logger: host.logger, Accepts: host.refusesDelegated, OnEnd: host.recordCoordinated,
--- a/server/delegation.go
+++ b/server/delegation.go
@@ -210,7 +210,9 @@
 	switch {
 	case action.Handle != nil:
 		query := *pending.query
-		query.Limits.MaxSearchers, query.Limits.Repeated = action.Handle.MaxSearchers, action.Handle.Repeated
+		query.Limits = carobthread.QueryLimits{
+			SoftDeadline: action.Handle.SoftDeadline, MaxSearchers: action.Handle.MaxSearchers, Repeated: action.Handle.Repeated,
+		}
 		outcome, err = delegation.options.Search.RunQuery(ctx, query)
 		if action.Handle.Repeated {
 			outcome = mayHaveRun(outcome)
--- a/server/search.go
+++ b/server/search.go
@@ -50,6 +50,8 @@
 	CutOffDataCentres() []string
 	// HedgeDelay returns the time after which an attempt of the service counts as late, or 0 if it is unknown.
 	HedgeDelay(service string) time.Duration
+	// MayRepeat reports whether the retry budget permits a query of the service that another host may have sent to the shards.
+	MayRepeat(service string) bool
 }
 
 // Search serves callers' queries; it owns the query path's core.
@@ -154,6 +156,13 @@
 	return search.options.QueryCore.HedgeDelay(service)
 }
 
+// MayRepeat reports whether the retry budget permits a query of the service that another host may have sent to the shards.
+func (search *Search) MayRepeat(service string) bool {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return search.options.QueryCore.MayRepeat(service)
+}
+
 // MarkReachable tells the core that a host of the data centre has answered.
 func (search *Search) MarkReachable(dataCentre string) {
 	search.step(carobthread.Event{Reach: &carobthread.DataCentreReached{DataCentre: dataCentre}})
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -151,6 +151,8 @@
 func FuzzGossip(f *testing.F) {
 	f.Add([]byte(`{"records":["b east 10.0.0.1:1 2s 5 1 1l"],"marks":["s1 2s l"],"bucket":0,"of":1,"sum":7,"repair":true}`))
 	f.Add([]byte(`{"records":["b east 10.0.0.1:1 2s 5 1 9"]}`))
+	f.Add([]byte(`{"records":["b east 10.0.0.1:1 2s 5 1 0 5c","c east 10.0.0.1:2 2s 5 1 0"]}`))
+	f.Add([]byte(`{"records":["b east 10.0.0.1:1 2s 5 1 0 -1"]}`))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		var decoded, redecoded tracker.Gossip
 		if json.Unmarshal(content, &decoded) != nil {
@@ -171,3 +173,22 @@
 		}
 	})
 }
+
+// Guards against a capacity that is lost between hosts, and against records of hosts that state none which no longer decode.
+func TestRecordCarriesCapacity(t *testing.T) {
+	large := host("b east 100")
+	large.Capacity = 0.192
+	sender, receiver := tracker.New(large, nil, 0, 1), tracker.New(host("a east 100"), nil, 0, 1)
+	content, err := json.Marshal(sender.Snapshot().Records)
+	assert.NilError(t, err)
+	var records []tracker.Record
+	assert.NilError(t, json.Unmarshal(content, &records))
+	receiver.Step(tracker.Event{Received: &tracker.GossipReceived{From: "b", Gossip: tracker.Gossip{Records: records}}})
+	hosts := receiver.View().Hosts
+	assert.Equal(t, hosts[0].Capacity, 0.0)
+	assert.Equal(t, hosts[1].Capacity, 0.192)
+	var record tracker.Record
+	assert.NilError(t, record.UnmarshalText([]byte("b east 10.0.0.1:1 2s 5 1 0")))
+	assert.Equal(t, record.Capacity, uint32(0))
+	assert.ErrorContains(t, record.UnmarshalText([]byte("b east 10.0.0.1:1 2s 5 1 0 -1")), "host record")
+}
