Tell a searcher that left from a heartbeat that outlived a rollback

A trial with random histories of three hosts and a store found that a departed searcher returned where the store rolled back twice, where two lists without the searcher arrived in one transition, and where another host passed its state on under a revision of the new era. A removal at the end of a hold now counts as a departure in later eras, a second list does not shorten the hold, and what wins over the copy keeps the copy's revision.

--- a/follower/era.go
+++ b/follower/era.go
@@ -95,7 +95,7 @@
 // departedBefore reports whether a heartbeat in a new era's copy is of a searcher whose departure is known. The copy may have a
 // higher sequence number than this host, which does not learn of each heartbeat; one that is there writes another one soon.
 func (follower *Follower) departedBefore(stored *entry, copied *carobthread.Registration) bool {
-	departed := (stored.item.Removed || stored.removeAt != 0) && !stored.unlisted
+	departed := stored.item.Removed || stored.removeAt != 0 && !stored.unlisted
 	return follower.isFromEarlierEra(stored) && departed && copied.StartedMillis == stored.registration.StartedMillis &&
 		(copied.StartedMillis != 0 || copied.Sequence > maxRestartSequence)
 }
@@ -105,15 +105,16 @@
 	return follower.era > 0 && stored.item.Revision == 0
 }
 
-// keepNewer keeps what is known from an earlier era although the new era's copy has an older heartbeat or state. It counts as
-// changed after the copy, for hosts that know only the copy; what the searcher writes from now on replaces it.
+// keepNewer keeps what is known from an earlier era although the new era's copy has an older heartbeat or state; what the
+// searcher writes from now on replaces it. A departure counts as changed after the copy, for hosts that know only the copy.
 func (follower *Follower) keepNewer(now carobthread.Instant, stored *entry, item *carobthread.StoreItem, copied *carobthread.Registration) {
 	if !follower.isFromEarlierEra(stored) {
 		return
 	}
-	stored.item.Revision = max(follower.asOf, item.Revision)
-	stored.changedRevision = stored.item.Revision + 1
+	stored.item.Revision, stored.changedRevision = item.Revision, item.Revision
 	if stored.item.Removed {
+		stored.item.Revision = max(follower.asOf, item.Revision)
+		stored.changedRevision = stored.item.Revision + 1
 		stored.departed, stored.removedAt = true, now
 	}
 	if copied.Sequence > stored.registration.Sequence && copied.StartedMillis == stored.registration.StartedMillis {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -175,7 +175,7 @@
 	for _, key := range slices.Sorted(maps.Keys(follower.entries)) {
 		stored := follower.entries[key]
 		if !listed[key] && !stored.item.Removed && stored.item.Revision <= asOf {
-			stored.unlisted = follower.inTransition(now) && stored.removeAt == 0
+			stored.unlisted = stored.unlisted || follower.inTransition(now) && stored.removeAt == 0
 			follower.remove(now, key, asOf, &change)
 		}
 	}
