Treat replies with invalid statuses as failed attempts

Cause: net/http accepts a status line with any number up to 999. Before this change, the new tests show that a reply with 600 or more counted as a reply (700 reached the caller, and with the header for not run it proved that the request had not run); that one below 100, or 101, was skipped as an informational reply, so that its own body could count as the reply, or the attempt waited until its deadline; and that the searcher API and the store's client kept the connection.

Change: CheckStatus names the final statuses, 200 to 599. The forwarder answers 502 in place of such a reply, from wherever it came.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -232,6 +232,13 @@
 		}
 	}
 	response, err := binding.conn.client.RoundTrip(request)
+	if err == nil {
+		if err := carobthread.CheckStatus(response.StatusCode); err != nil {
+			_ = response.Body.Close()
+			binding.conn.close()
+			return nil, err
+		}
+	}
 	if err == nil && closeDelimited(response) {
 		_ = response.Body.Close()
 		return nil, errors.New("the reply has neither a length nor chunked encoding; truncation could not be detected")
@@ -278,7 +285,10 @@
 	}
 	reason := carobthread.ReasonConnectionLost
 	var connectErr *connect.Error
+	var invalid *carobthread.StatusError
 	switch {
+	case errors.As(err, &invalid):
+		reason = carobthread.ReasonUpstreamFailed
 	case errors.Is(err, context.DeadlineExceeded), connect.CodeOf(err) == connect.CodeDeadlineExceeded:
 		reason = carobthread.ReasonTimeout
 	case connect.CodeOf(err) == connect.CodeResourceExhausted:
--- a/caller/http1_conn.go
+++ b/caller/http1_conn.go
@@ -191,14 +191,24 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			client.limit.N = client.maxBodySize
-			return response, nil
+		if informational(response.StatusCode) {
+			continue
 		}
+		if err := carobthread.CheckStatus(response.StatusCode); err != nil {
+			return nil, err
+		}
+		client.limit.N = client.maxBodySize
+		return response, nil
 	}
 	return nil, fmt.Errorf("more than %d informational replies", maxInformational)
 }
 
+// informational reports whether another reply follows the one with this status. None follows 101, which ends HTTP, and a
+// status below 100 may be followed by anything, such as a body that looks like a reply.
+func informational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // contextError returns the error of an ended context in place of err, which the connection deadline set by the context
 // caused.
 func contextError(ctx context.Context, err error) error {
--- a/errors.go
+++ b/errors.go
@@ -57,6 +57,31 @@
 	ReasonInternal Reason = "internal-error"
 )
 
+// StatusError is a reply with an HTTP status that is not final. It is no reply: the request may have run, and what follows on
+// the connection is unknown.
+type StatusError struct{ Status int }
+
+var _ error = (*StatusError)(nil)
+
+// Error states the status.
+func (failure *StatusError) Error() string {
+	return fmt.Sprintf("the reply has the invalid status %03d", failure.Status)
+}
+
+// Final statuses of HTTP, from the lowest to the highest.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// CheckStatus returns a *StatusError unless the HTTP status is a final one, 200 to 599.
+func CheckStatus(status int) error {
+	if status < minFinalStatus || status > maxFinalStatus {
+		return &StatusError{Status: status}
+	}
+	return nil
+}
+
 // RequestError is the failure of one request; callers may rely on its State.
 type RequestError struct {
 	State      RunState
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -298,8 +298,13 @@
 	return answer.Coverage.Missing[0].Reason
 }
 
-// writeReply writes a searcher's reply unchanged, except for its load and hop-by-hop headers.
+// writeReply writes a searcher's reply unchanged, except for its load and hop-by-hop headers. A reply with an invalid status,
+// which net/http would write or panic on, is none.
 func (forwarder *Forwarder) writeReply(writer http.ResponseWriter, record *RequestRecord, reply *carobthread.HTTPReply) {
+	if carobthread.CheckStatus(reply.Status) != nil {
+		forwarder.fail(writer, record, http.StatusBadGateway, carobthread.ReasonUpstreamFailed)
+		return
+	}
 	header := writer.Header()
 	maps.Copy(header, caller.EndToEndHeader(reply.Header))
 	header.Del(forwarder.options.Headers.Load)
