Admit delegated queries by their own soft deadline

Cause: the wait of a new query was compared with the service's target, also where a delegating host states an earlier one.

Change: the query that is checked for admission gets the soft deadline of its arrival, as the started one does.

--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -98,7 +98,7 @@
 	}
 	if service.config.FloorRequired {
 		newcomer := queryRow{service: service, sequence: gatherer.nextQuery + 1}
-		newcomer.setDeadlines(gatherer.now, deadline)
+		newcomer.setDeadlines(gatherer.now, deadline, arrived.SoftDeadline)
 		if wait := gatherer.floorWait(&newcomer, plan.layout); wait.excess > 0 {
 			gatherer.refuseOverloaded(arrived, &newcomer, wait)
 			return false
@@ -198,13 +198,10 @@
 		heapIndex: -1,
 	}
 	query.limit(&arrived.QueryLimits)
-	query.setDeadlines(gatherer.now, deadline)
+	query.setDeadlines(gatherer.now, deadline, arrived.SoftDeadline)
 	if gatherer.options.RandomReplica {
 		query.softDeadline = deadline
 	}
-	if arrived.SoftDeadline != 0 {
-		query.softDeadline = min(query.softDeadline, arrived.SoftDeadline)
-	}
 	query.due = min(query.softDeadline, max(gatherer.now, query.lastStart()))
 	query.pendingShards = len(query.current.shards)
 	gatherer.queries[query.id] = query
@@ -224,12 +221,15 @@
 	}
 }
 
-// setDeadlines sets the deadlines of a query that has arrived now.
-func (query *queryRow) setDeadlines(now, deadline carobthread.Instant) {
+// setDeadlines sets the deadlines of a query that has arrived now; a soft deadline other than 0 is an upper bound.
+func (query *queryRow) setDeadlines(now, deadline, softDeadline carobthread.Instant) {
 	query.deadline, query.softDeadline = deadline, deadline
 	if query.service.latencyFirst() {
 		query.softDeadline = min(deadline, now.Add(query.service.config.SoftDeadline))
 	}
+	if softDeadline != 0 {
+		query.softDeadline = min(query.softDeadline, softDeadline)
+	}
 }
 
 // best returns the candidate with the higher coverage, the current one on a tie.
