Count the memory of coordinated queries and name the missing grant

Cause: queries that a host coordinates for others were not counted in its memory budget, and a shard that waited for the grant was reported as at its limit of searchers.

Change: a coordinator refuses queries above the first mark of its memory budget and counts their replies. A shard that waited for the grant is reported with the cause not-granted. A test passes a partial outcome from a coordinator to its entry host.

--- a/delegator/coordinator.go
+++ b/delegator/coordinator.go
@@ -84,7 +84,7 @@
 func (target *coordinator) avoidRefusing(now carobthread.Instant, reason carobthread.Reason, retryAfter time.Duration) {
 	switch reason {
 	case carobthread.ReasonLayoutMissing:
-	case carobthread.ReasonOverload:
+	case carobthread.ReasonOverload, carobthread.ReasonMemory:
 		target.avoidedUntil = now.Add(max(retryAfter, overloadPause))
 	case carobthread.ReasonStopping, carobthread.ReasonNotReady:
 		target.avoidedUntil = now.Add(stopPause)
--- a/event.go
+++ b/event.go
@@ -272,6 +272,8 @@
 	BlockedAtMostOnce
 	// BlockedSearcherLimit means that the request had been sent to as many searchers of the shard as permitted.
 	BlockedSearcherLimit
+	// BlockedNotGranted means that the host which delegated the request had not granted a second searcher.
+	BlockedNotGranted
 	// BlockedInFlightLimit means that as many attempts as permitted were in flight to the shard.
 	BlockedInFlightLimit
 	// BlockedAttemptLimit means that as many attempts as permitted had been sent to the shard.
@@ -291,7 +293,7 @@
 // String returns the name of the cause in logs and metrics.
 func (cause BlockCause) String() string {
 	names := [...]string{
-		"not-checked", "not-due", "queued", "at-most-once", "searcher-limit", "in-flight-limit", "attempt-limit", "deadline",
+		"not-checked", "not-due", "queued", "at-most-once", "searcher-limit", "not-granted", "in-flight-limit", "attempt-limit", "deadline",
 		"hedging-paused", "no-replica", "no-slot", "budget",
 	}
 	return names[cause]
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -208,6 +208,7 @@
 		}
 		gatherer.dispatch(query, shard, carobthread.AttemptRetry)
 	case class == classTried && query.withheld:
+		state.setBlocked(carobthread.BlockedNotGranted, class)
 		state.checkAt = 0 // until the grant
 	case class == classTried:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
--- a/gatherer/blocked.go
+++ b/gatherer/blocked.go
@@ -17,6 +17,8 @@
 	switch {
 	case service.config.AtMostOnce:
 		return carobthread.BlockedAtMostOnce
+	case query.withheld && state.reached != 0:
+		return carobthread.BlockedNotGranted
 	case state.atSearcherLimit(query):
 		return carobthread.BlockedSearcherLimit
 	case state.inFlightCount >= maxShardInFlight:
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -232,6 +232,7 @@
 	})
 	host.coordination = server.NewCoordination(server.CoordinationOptions{
 		Search: host.search, Notifier: host.messenger, Timer: host.timer, Logger: host.logger, Accepts: host.refusesDelegated, OnEnd: host.recordCoordinated,
+		Accountant: host.accountant,
 	})
 }
 
--- a/server/coordination.go
+++ b/server/coordination.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"carobthread"
+	"carobthread/accountant"
 	"carobthread/timer"
 )
 
@@ -35,6 +36,8 @@
 	Notifier carobthread.PeerNotifier
 	Timer    carobthread.Timer
 	Logger   zerolog.Logger
+	// Accountant counts the bytes that are held for the queries; if nil, they are not counted.
+	Accountant *accountant.Accountant
 	// Accepts returns why this host takes no queries of other hosts now, or an empty reason if it does.
 	Accepts func() carobthread.Reason
 	// OnEnd is called after each query that this host has coordinated.
@@ -180,6 +183,8 @@
 		return carobthread.ReasonDeadlinePassed // the time left is unknown
 	case len(coordination.running) >= maxCoordinated:
 		return carobthread.ReasonOverload
+	case !coordination.options.Accountant.Admit(true):
+		return carobthread.ReasonMemory
 	case coordination.running[key] != nil:
 		return carobthread.ReasonMalformed
 	}
@@ -211,9 +216,11 @@
 	accepted := delegateMessage{ID: request.ID, HedgeMicros: coordination.options.Search.HedgeDelay(request.Service).Microseconds()}
 	// Without the acceptance, the entry host handles the query itself and cancels this one.
 	_ = coordination.options.Notifier.NotifyCaller(ctx, MethodDelegateAccepted, accepted)
+	account := coordination.options.Accountant.Open()
+	defer account.Close()
 	outcome, err := coordination.options.Search.RunQuery(ctx, Query{
 		Request: &carobthread.Request{
-			ID: request.Request, Service: request.Service, Body: request.Body,
+			ID: request.Request, Service: request.Service, Body: request.Body, Account: account,
 			HTTP: &carobthread.HTTPRequest{Method: request.Method, Target: request.Target, Host: request.Host, Header: request.Header},
 		},
 		Deadline: arrived.Add(query.TimeLeft),
--- a/server/delegation_test.go
+++ b/server/delegation_test.go
@@ -25,12 +25,20 @@
 type signingUpstream struct {
 	mutex    sync.Mutex
 	attempts int
+	// silent is a shard without replies, if it is not 0.
+	silent uint32
 }
 
-func (upstream *signingUpstream) SearchShard(_ context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
+func (upstream *signingUpstream) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	upstream.attempts++
+	if upstream.silent != 0 && request.Shard == upstream.silent {
+		upstream.mutex.Unlock()
+		<-ctx.Done()
+		upstream.mutex.Lock()
+		return nil, ctx.Err()
+	}
 	return &carobthread.ShardReply{
 		Attempt: request.Attempt, Shard: request.Shard, Layout: request.Layout, Status: carobthread.ReplyOK,
 		HTTP: &carobthread.HTTPReply{Signature: request.Request.ID + "@" + searcher.Name, Body: []byte(fmt.Sprintf("record-%09d", request.Shard))},
@@ -171,3 +179,80 @@
 		delegation.Close()
 	}
 }
+
+// Guards against a delegated answer whose coverage, missing shards or signatures differ from the coordinator's, and against a
+// grant that does not reach it.
+func TestDelegatedAnswerStatesCoordinatorsCoverage(t *testing.T) {
+	clock, upstream := timer.NewManual(carobthread.Instant(time.Hour)), &signingUpstream{silent: 3}
+	config := shardedConfig(800)
+	config.Services[0].CoverageFloor = 0.5
+	small := carobthread.Host{Name: "small", DataCentre: "one", State: carobthread.HostLive, Capacity: 0.2}
+	large := carobthread.Host{Name: "large", DataCentre: "one", State: carobthread.HostLive, Capacity: 0.8}
+	router := &server.PeerRouter{}
+	link := &routedLink{router: router}
+	link.call = func(ctx context.Context, params, result any) error {
+		content, err := json.Marshal(params)
+		assert.NilError(t, err)
+		answer, err := router.Handle(ctx, "small", server.MethodDelegate, content)
+		if err != nil {
+			return err
+		}
+		content, err = json.Marshal(answer)
+		assert.NilError(t, err)
+		return json.Unmarshal(content, result)
+	}
+	router.Coordination = server.NewCoordination(server.CoordinationOptions{
+		Search: scheduledSearch(clock, upstream, config), Notifier: link, Timer: clock, Accepts: func() carobthread.Reason { return "" },
+	})
+	defer router.Coordination.Close()
+	router.Delegation = server.NewDelegation(server.DelegationOptions{
+		Self: small, Search: scheduledSearch(clock, &signingUpstream{}, config), Core: delegator.New(delegator.Options{}), Peers: link, Notifier: link, Timer: clock,
+	})
+	router.Delegation.Configure(&config)
+	router.Delegation.SetView(carobthread.View{Self: "small", Hosts: []carobthread.Host{large, small}})
+	outcomes := make(chan server.Outcome)
+	go func() {
+		outcome, _ := router.Delegation.RunQuery(t.Context(), server.Query{
+			Request:  &carobthread.Request{ID: "r", Service: "catalogue", HTTP: &carobthread.HTTPRequest{Method: "GET"}},
+			Deadline: clock.Now().Add(2 * time.Second), Version: 1, TopK: 2,
+		})
+		outcomes <- outcome
+	}()
+	for {
+		select {
+		case outcome := <-outcomes:
+			answer := outcome.Answer
+			assert.Check(t, answer.Coverage.Answered == testShards-1 && answer.Coverage.Total == testShards && !answer.Failed, "%+v", answer)
+			assert.DeepEqual(t, answer.Coverage.Missing, []carobthread.MissingShard{{Shard: 3, Reason: carobthread.ReasonTimeout}})
+			assert.Equal(t, strings.Count(outcome.Merged.Signatures, "r@s"), testShards-1)
+			assert.Equal(t, string(outcome.Merged.Body), "record-000000007record-000000006")
+			assert.Check(t, outcome.Delegations[0].GrantedAt != 0 && outcome.Delegations[0].End == "answered", "%+v", outcome.Delegations)
+			router.Delegation.Close()
+			return
+		case <-time.After(time.Millisecond):
+			clock.Advance(5 * time.Millisecond)
+		}
+	}
+}
+
+// routedLink passes notifications to a router, as if from the other end.
+type routedLink struct {
+	fakeLink
+	router *server.PeerRouter
+}
+
+func (link *routedLink) Notify(_, method string, params any) error {
+	return link.notify("small", method, params)
+}
+
+func (link *routedLink) NotifyCaller(_ context.Context, method string, params any) error {
+	return link.notify("large", method, params)
+}
+
+func (link *routedLink) notify(peer, method string, params any) error {
+	content, err := json.Marshal(params)
+	if err == nil {
+		link.router.HandleNotification(peer, method, content)
+	}
+	return err
+}
