Pass on the removal of a searcher that a host has never known

Cause: a host dropped the tombstone of a searcher that it did not know. A host that knew the searcher and learned only from that one kept it for good.

Change: such tombstones are kept for a minute, as those of evacuations are.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -258,7 +258,7 @@
 		case stored.removeAt != 0 && delta.Whole && follower.era > 0:
 			delta.Held = append(delta.Held, stored.item)
 		case stored.removeAt != 0: // the other host holds the removal itself if it also lost the store
-			delta.Items = append(delta.Items, carobthread.StoreItem{Key: key, Revision: stored.changedRevision, Removed: true})
+			delta.Items = append(delta.Items, carobthread.StoreItem{Key: key, Revision: stored.changedRevision, Content: stored.item.Content, Removed: true})
 		default:
 			delta.Items = append(delta.Items, stored.item)
 		}
@@ -396,16 +396,19 @@
 	}
 }
 
-// rememberRemoved keeps the last heartbeat of an unknown searcher from a tombstone that carries it.
+// rememberRemoved keeps the tombstone of a searcher that is unknown, for hosts that know it and have missed the removal, with
+// the last heartbeat if the tombstone carries it.
 func (follower *Follower) rememberRemoved(now carobthread.Instant, item *carobthread.StoreItem) {
-	if len(item.Content) == 0 || follower.entries[item.Key] != nil {
+	if follower.entries[item.Key] != nil {
 		return
 	}
+	stored := &entry{item: *item, changedRevision: item.Revision, removedAt: now}
 	live := *item
 	live.Removed = false
-	if registration, isEntry, err := follower.decoder.Registration(live); isEntry && err == nil {
-		follower.entries[item.Key] = &entry{item: *item, changedRevision: item.Revision, registration: registration, removedAt: now}
+	if registration, _, err := follower.decoder.Registration(live); err == nil {
+		stored.registration = registration
 	}
+	follower.entries[item.Key] = stored
 }
 
 // coldUntil returns the latest end of the cold time that a registration received now states, or 0 if it states none.
