Ask for the grant at once when a first attempt has failed

Cause: a delegated query whose first attempt at a shard failed or was refused waited with the second one until the coordinator's hedge delay was over. Recorded traces with a grant could not be read.

Change: the gatherer asks for the grant, and the coordinator sends its acceptance again with no delay. The trace reader knows grants and the wants of them.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -189,11 +189,13 @@
 
 func (delegator *Delegator) accept(accepted *Accepted) {
 	row := delegator.queries[accepted.ID]
-	if row == nil || row.state != stateSent {
+	if row == nil || row.state != stateSent && row.state != stateAccepted {
 		return
 	}
-	row.coordinator.recordAccept(delegator.now.Sub(row.sentAt))
-	row.state = stateAccepted
+	if row.state == stateSent {
+		row.coordinator.recordAccept(delegator.now.Sub(row.sentAt))
+		row.state = stateAccepted
+	}
 	delay := accepted.HedgeDelay
 	if delay <= 0 {
 		delay = row.service.hedgeDelay()
--- a/delegator/event.go
+++ b/delegator/event.go
@@ -29,8 +29,8 @@
 	AtMostOnce bool
 }
 
-// Accepted reports that the coordinator has started the query; HedgeDelay is the time after which it wants to use second
-// searchers, or 0 if it does not know.
+// Accepted reports that the coordinator has started the query; HedgeDelay is the time since the start after which it wants to
+// use second searchers, or 0 if it does not know. A coordinator may report again if it wants them earlier.
 type Accepted struct {
 	ID         uint64
 	HedgeDelay time.Duration
--- a/event.go
+++ b/event.go
@@ -73,6 +73,11 @@
 	Repeated bool `json:"repeated,omitempty"`
 }
 
+// WantGrant asks the process to obtain the grant for a query that can't go on without a second searcher.
+type WantGrant struct {
+	Query QueryID `json:"query"`
+}
+
 // GrantArrived permits a query whose second searchers were withheld to use them.
 type GrantArrived struct {
 	Query QueryID `json:"query"`
@@ -193,6 +198,7 @@
 	Answer  *AnswerQuery    `json:"answer,omitempty"`
 	Refuse  *RefuseQuery    `json:"refuse,omitempty"`
 	Connect *SetConnections `json:"connect,omitempty"`
+	Want    *WantGrant      `json:"want,omitempty"`
 	Cold    *ColdChanged    `json:"cold,omitempty"`
 }
 
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -210,6 +210,7 @@
 	case class == classTried && query.withheld:
 		state.setBlocked(carobthread.BlockedNotGranted, class)
 		state.checkAt = 0 // until the grant
+		gatherer.wantGrant(query)
 	case class == classTried:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
 		state.tried = 0
--- a/gatherer/delegation.go
+++ b/gatherer/delegation.go
@@ -135,6 +135,15 @@
 	query.fixed = limits.Withheld || limits.Repeated
 }
 
+// wantGrant asks for the grant of a query whose first attempt at a shard has failed, since it does not need to wait until other
+// attempts are late.
+func (gatherer *Gatherer) wantGrant(query *queryRow) {
+	if !query.wanted {
+		query.wanted = true
+		gatherer.actions = append(gatherer.actions, carobthread.Action{Want: &carobthread.WantGrant{Query: query.id}})
+	}
+}
+
 // grant permits the query to use second searchers and checks at once the shards that have waited for this.
 func (gatherer *Gatherer) grant(id carobthread.QueryID) {
 	query := gatherer.queries[id]
--- a/gatherer/script_test.go
+++ b/gatherer/script_test.go
@@ -329,6 +329,8 @@
 			output.WriteString("\n")
 		case action.Refuse != nil:
 			fmt.Fprintf(&output, "refuse query %d: %s retry after %d us\n", action.Refuse.Query, action.Refuse.Reason, action.Refuse.RetryAfterMicros)
+		case action.Want != nil:
+			fmt.Fprintf(&output, "want grant of query %d\n", action.Want.Query)
 		case action.Connect != nil:
 			fmt.Fprintf(&connects, " %s=%d", action.Connect.Searcher, action.Connect.Count)
 		case action.Cold != nil:
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -105,6 +105,8 @@
 	// used.
 	maxSearchers int
 	withheld     bool
+	// wanted is set once the grant was asked for.
+	wanted bool
 	// fixed is set if the query must keep its layout, in which its searchers are counted.
 	fixed bool
 }
--- a/recorder/reader_test.go
+++ b/recorder/reader_test.go
@@ -47,6 +47,18 @@
 	assert.ErrorContains(t, recording.Err(), "no space left")
 }
 
+// TestReadDelegatedQuery guards against a trace of a delegated query, its want of a grant and its grant that can't be read.
+func TestReadDelegatedQuery(t *testing.T) {
+	trace := `{"header":{"format":1,"seed":1,"options":{}}}
+{"event":{"at":1,"query":{"query":1,"service":"unknown","deadline":0,"size":0,"withheld":true}}}
+{"actions":[{"want":{"query":1}}]}
+{"event":{"at":1,"grant":{"query":1}}}
+`
+	read, err := recorder.Read("delegated", strings.NewReader(trace))
+	assert.NilError(t, err)
+	assert.Equal(t, len(read.Steps), 2)
+}
+
 // FuzzRead guards against input that crashes the reader, malformed input that is rejected without a position, and valid
 // traces that cannot be replayed or that differ once they are recorded again.
 func FuzzRead(f *testing.F) {
--- a/recorder/trace.go
+++ b/recorder/trace.go
@@ -44,12 +44,13 @@
 	}
 	if event := line.Event; event != nil && countTrue(event.Query != nil, event.Reply != nil, event.Gone != nil,
 		event.Report != nil, event.Config != nil, event.View != nil, event.Peers != nil, event.Reach != nil, event.Stop != nil,
+		event.Grant != nil,
 		event.Tick != nil) != 1 {
 		return errors.New("an event has exactly one kind")
 	}
 	for i := range line.Actions {
 		action := &line.Actions[i]
-		if countTrue(action.Send != nil, action.Cancel != nil, action.Answer != nil, action.Refuse != nil, action.Connect != nil, action.Cold != nil) != 1 {
+		if countTrue(action.Send != nil, action.Cancel != nil, action.Answer != nil, action.Refuse != nil, action.Connect != nil, action.Cold != nil, action.Want != nil) != 1 {
 			return errors.New("an action has exactly one kind")
 		}
 	}
--- a/server/coordination.go
+++ b/server/coordination.go
@@ -216,6 +216,9 @@
 	accepted := delegateMessage{ID: request.ID, HedgeMicros: coordination.options.Search.HedgeDelay(request.Service).Microseconds()}
 	// Without the acceptance, the entry host handles the query itself and cancels this one.
 	_ = coordination.options.Notifier.NotifyCaller(ctx, MethodDelegateAccepted, accepted)
+	wantGrant := func() {
+		_ = coordination.options.Notifier.NotifyCaller(ctx, MethodDelegateAccepted, delegateMessage{ID: request.ID, HedgeMicros: 1})
+	}
 	account := coordination.options.Accountant.Open()
 	defer account.Close()
 	outcome, err := coordination.options.Search.RunQuery(ctx, Query{
@@ -227,7 +230,7 @@
 		Limits: carobthread.QueryLimits{
 			SoftDeadline: arrived.Add(max(1, query.TargetLeft)), Definition: request.Definition, Withheld: true,
 		},
-		Granted: row.granted,
+		Granted: row.granted, WantGrant: wantGrant,
 	})
 	query.Outcome, query.Took, query.CallerGone = outcome, coordination.options.Timer.Now().Sub(arrived), err != nil
 	if coordination.options.OnEnd != nil {
--- a/server/delegation_test.go
+++ b/server/delegation_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,8 +26,8 @@
 type signingUpstream struct {
 	mutex    sync.Mutex
 	attempts int
-	// silent is a shard without replies, if it is not 0.
-	silent uint32
+	// silent is a shard without replies, failing one whose first attempt fails, if they are not 0.
+	silent, failing uint32
 }
 
 func (upstream *signingUpstream) SearchShard(ctx context.Context, searcher carobthread.Searcher, request *carobthread.ShardRequest) (*carobthread.ShardReply, error) {
@@ -39,6 +40,10 @@
 		upstream.mutex.Lock()
 		return nil, ctx.Err()
 	}
+	if upstream.failing != 0 && request.Shard == upstream.failing {
+		upstream.failing = 0
+		return nil, &carobthread.RequestError{State: carobthread.MayHaveRun, Reason: carobthread.ReasonUpstreamFailed}
+	}
 	return &carobthread.ShardReply{
 		Attempt: request.Attempt, Shard: request.Shard, Layout: request.Layout, Status: carobthread.ReplyOK,
 		HTTP: &carobthread.HTTPReply{Signature: request.Request.ID + "@" + searcher.Name, Body: []byte(fmt.Sprintf("record-%09d", request.Shard))},
@@ -182,9 +187,9 @@
 }
 
 // Guards against a delegated answer whose coverage, missing shards or signatures differ from the coordinator's, and against a
-// grant that does not reach it.
+// grant that does not reach it at once when a first attempt has failed.
 func TestDelegatedAnswerStatesCoordinatorsCoverage(t *testing.T) {
-	clock, upstream := timer.NewManual(carobthread.Instant(time.Hour)), &signingUpstream{silent: 3}
+	clock, upstream := timer.NewManual(carobthread.Instant(time.Hour)), &signingUpstream{silent: 3, failing: 5}
 	config := shardedConfig(800)
 	config.Services[0].CoverageFloor = 0.5
 	small := carobthread.Host{Name: "small", DataCentre: "one", State: carobthread.HostLive, Capacity: 0.2}
@@ -227,11 +232,14 @@
 			assert.DeepEqual(t, answer.Coverage.Missing, []carobthread.MissingShard{{Shard: 3, Reason: carobthread.ReasonTimeout}})
 			assert.Equal(t, strings.Count(outcome.Merged.Signatures, "r@s"), testShards-1)
 			assert.Equal(t, string(outcome.Merged.Body), "record-000000007record-000000006")
-			assert.Check(t, outcome.Delegations[0].GrantedAt != 0 && outcome.Delegations[0].End == "answered", "%+v", outcome.Delegations)
+			try := outcome.Delegations[0]
+			assert.Check(t, try.GrantedAt.Sub(try.At) <= time.Millisecond && try.End == "answered", "%+v", try)
 			router.Delegation.Close()
 			return
 		case <-time.After(time.Millisecond):
-			clock.Advance(5 * time.Millisecond)
+			if link.accepted.Load() > 1 {
+				clock.Advance(5 * time.Millisecond)
+			}
 		}
 	}
 }
@@ -240,6 +248,8 @@
 type routedLink struct {
 	fakeLink
 	router *server.PeerRouter
+	// accepted counts the acceptances that have been processed.
+	accepted atomic.Int64
 }
 
 func (link *routedLink) Notify(_, method string, params any) error {
@@ -254,6 +264,9 @@
 	content, err := json.Marshal(params)
 	if err == nil {
 		link.router.HandleNotification(peer, method, content)
+		if method == server.MethodDelegateAccepted {
+			link.accepted.Add(1)
+		}
 	}
 	return err
 }
--- a/server/query.go
+++ b/server/query.go
@@ -19,6 +19,8 @@
 	// rejected is the last complete HTTP response of a searcher that counts as a failed attempt.
 	rejected *carobthread.ShardReply
 	done     chan Outcome
+	// wantGrant is called when the query can't go on without a second searcher; it may be nil.
+	wantGrant func()
 }
 
 // Outcome is the result of a query: exactly one of Answer and Refusal is set.
@@ -49,6 +51,8 @@
 	TopK int
 	// Limits are set for a query that two hosts may have received.
 	Limits carobthread.QueryLimits
+	// WantGrant is called when the query can't go on without a second searcher; it may be nil.
+	WantGrant func()
 	// Granted is closed when a query whose second searchers are withheld may use them; it may be nil.
 	Granted <-chan struct{}
 }
@@ -63,6 +67,7 @@
 		cancels:    map[carobthread.AttemptID]context.CancelFunc{},
 		replies:    map[carobthread.AttemptID]*carobthread.ShardReply{},
 		done:       make(chan Outcome, 1),
+		wantGrant:  params.WantGrant,
 	}
 	search.start(id, query, &params)
 	granted := params.Granted
--- a/server/search.go
+++ b/server/search.go
@@ -255,6 +255,10 @@
 		search.finish(action.Refuse.Query, func(query *pendingQuery) Outcome {
 			return Outcome{Refusal: action.Refuse, AttemptEvents: query.attemptEvents}
 		})
+	case action.Want != nil:
+		if query := search.pending[action.Want.Query]; query != nil && query.wantGrant != nil {
+			search.running.Go(query.wantGrant)
+		}
 	case action.Connect != nil:
 		search.setConnections(action.Connect)
 	case action.Cold != nil:
