Add carobctl place, which explains where a request would go now

Cause: where a host sends a request, and why, could be seen only in the log of requests that it had sent.

Change: gatherer.Explain runs the choice of replicas for a query that is not started, with a random generator and a time of its own, and returns classes, costs and ages. The operator address serves it under /place, and carobctl place prints it.

--- a/cmd/carobctl/commands.go
+++ b/cmd/carobctl/commands.go
@@ -16,6 +16,7 @@
 		{name: "capacity", short: "Extrapolate the measured control traffic to the target size.", runner: &capacityCommand{}},
 		{name: "demo", short: "Run a demonstration against embedded stand-ins.", runner: &demoCommand{}},
 		{name: "query", short: "Send one query to an entry host.", runner: &queryCommand{}},
+		{name: "place", short: "Print where an entry host would send a request now, and why.", runner: &placeCommand{}},
 		{name: "status", short: "Print the status of an entry host.", runner: &statusCommand{}},
 		{name: "submit", short: "Publish a ticket to the platform.", runner: &submitCommand{}},
 		{name: "explain", short: "Print the history of one request from log files.", runner: &explainCommand{}},
--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -577,3 +577,29 @@
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second))
 }
+
+// Guards against a placement that leaves out shards or back ends, that sends anything, or that misses a failure.
+func TestForwardingPlacement(t *testing.T) {
+	fleet := startForwarding(t)
+	sent := fleet.remoteRequests()
+	place := func(path string) (answer runner.PlaceAnswer, status int) {
+		response, err := http.Get("http://" + fleet.processes[0].addresses[2] + "/place?host=A.example:80&path=" + path)
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, response.Body.Close()) }()
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
+		return answer, response.StatusCode
+	}
+	search, status := place("/search/x")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, len(search.Placements), 1)
+	assert.Equal(t, len(search.Placements[0].Shards), shardCount)
+	for _, shard := range search.Placements[0].Shards {
+		assert.Assert(t, shard.Chosen != "" && shard.Class == "local", "%+v", shard)
+		assert.Equal(t, len(shard.Replicas), replicaCount)
+	}
+	book, _ := place("/book/1")
+	assert.Equal(t, len(book.Placements[0].Shards[0].Replicas), ledgerSearchers)
+	none, status := place("/nowhere")
+	assert.Assert(t, status == http.StatusNotFound && none.Error != "", "%d", status)
+	assert.Equal(t, fleet.remoteRequests(), sent)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -108,6 +108,9 @@
 // SetRouter sets the router, which holds one version of the routing table, for later requests.
 func (forwarder *Forwarder) SetRouter(router *router.Router) { forwarder.router.Store(router) }
 
+// Router returns the router for new requests, or nil before SetRouter is called.
+func (forwarder *Forwarder) Router() *router.Router { return forwarder.router.Load() }
+
 // Stop makes every response close its connection.
 func (forwarder *Forwarder) Stop() { forwarder.stopping.Store(true) }
 
--- a/router/router.go
+++ b/router/router.go
@@ -85,6 +85,17 @@
 	return Choice{}, false
 }
 
+// Match returns the route that Choose selects, without selecting a replica group.
+func (router *Router) Match(host, target string) (*carobthread.Route, bool) {
+	path, _, _ := strings.Cut(target, "?")
+	for _, weighted := range router.routesByHost[hostName(host)] {
+		if strings.HasPrefix(path, weighted.route.Prefix) {
+			return &weighted.route, true
+		}
+	}
+	return nil, false
+}
+
 // hostName returns the host name of a Host header in lower case, without the port.
 func hostName(header string) string {
 	name, port, found := strings.Cut(header, ":")
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -343,6 +343,7 @@
 		}
 	})
 	mux.HandleFunc("GET /status", host.serveStatus)
+	mux.HandleFunc("GET /place", host.servePlace)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	operators := &http.Server{
 		ErrorLog: errorLog(host.logger), Handler: mux, ReadHeaderTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
--- a/server/search.go
+++ b/server/search.go
@@ -48,6 +48,8 @@
 	Observations() []carobthread.Observation
 	// CutOffDataCentres returns the data centres that do not answer, if hosts elsewhere can serve callers better than this one.
 	CutOffDataCentres() []string
+	// Explain returns where a query of the service would go now, or false if it can't be served; it changes no decision.
+	Explain(now carobthread.Instant, service string) (carobthread.Placement, bool)
 	// HedgeDelay returns the time after which an attempt of the service counts as late, or 0 if it is unknown.
 	HedgeDelay(service string) time.Duration
 	// MayRepeat reports whether the retry budget permits a query of the service that another host may have sent to the shards.
@@ -167,6 +169,13 @@
 	return search.options.QueryCore.MayRepeat(service)
 }
 
+// Explain returns where a query of the service would go now, or false if it can't be served; it changes no decision.
+func (search *Search) Explain(service string) (carobthread.Placement, bool) {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return search.options.QueryCore.Explain(search.options.Timer.Now(), service)
+}
+
 // MarkReachable tells the core that a host of the data centre has answered.
 func (search *Search) MarkReachable(dataCentre string) {
 	search.step(carobthread.Event{Reach: &carobthread.DataCentreReached{DataCentre: dataCentre}})
