Decode the causes of blocked shards from the status page

Cause: the cause had a text form for encoding only, so readers of /status failed once a shard had been missing from an answer (TestForwardingStatusPage: cannot unmarshal number not-due).

Change: BlockCause decodes its names and refuses unknown ones.

--- a/event.go
+++ b/event.go
@@ -1,6 +1,10 @@
 package carobthread
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"time"
+)
 
 // QueryID identifies a query on one entry host.
 type QueryID uint64
@@ -296,18 +300,30 @@
 	BlockedBudget
 )
 
-// String returns the name of the cause in logs and metrics.
-func (cause BlockCause) String() string {
-	names := [...]string{
-		"not-checked", "not-due", "queued", "at-most-once", "searcher-limit", "not-granted", "in-flight-limit", "attempt-limit", "deadline",
-		"hedging-paused", "no-replica", "no-slot", "budget",
+// blockCauseNames returns the names of the causes in logs and metrics.
+func blockCauseNames() []string {
+	return []string{
+		"not-checked", "not-due", "queued", "at-most-once", "searcher-limit", "not-granted", "in-flight-limit", "attempt-limit",
+		"deadline", "hedging-paused", "no-replica", "no-slot", "budget",
 	}
-	return names[cause]
 }
 
+// String returns the name of the cause.
+func (cause BlockCause) String() string { return blockCauseNames()[cause] }
+
 // MarshalText encodes the cause by its name.
 func (cause BlockCause) MarshalText() ([]byte, error) { return []byte(cause.String()), nil }
 
+// UnmarshalText decodes the name of a cause.
+func (cause *BlockCause) UnmarshalText(text []byte) error {
+	index := slices.Index(blockCauseNames(), string(text))
+	if index < 0 {
+		return fmt.Errorf("unknown cause %q", text)
+	}
+	*cause = BlockCause(index)
+	return nil
+}
+
 // BlockedShard states why a shard that is missing from an answer got no further attempt.
 type BlockedShard struct {
 	Shard uint32     `json:"shard"`
