Run a host of the forwarding tests with a memory limit

Cause: no daemon of the forwarding tests had a memory limit, as all hosts of the deployments have, so that the budget was tested only inside a process.

Change: the first of the three hosts has 184 MB, the least of any deployment.

--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -70,7 +70,7 @@
 
 func startForwarding(t *testing.T) *forwardingSite {
 	t.Helper()
-	return startForwardingWith(t, [hostCount]string{})
+	return startForwardingWith(t, [hostCount]string{0: "[runtime]\nmemory = 184MB\n"})
 }
 
 // startForwardingWith starts a deployment whose hosts have the given section [runtime] in their settings.
