Share a local searcher's slots among the coordinators

Cause: a host takes its data centre's searcher only up to its fair share of the slots, divided by all hosts of the data centre: one of 4 slots with 25 hosts. On the planning deployment two coordinators send nearly all attempts there, and a third of their first attempts went to other data centres.

Change: where coordinators have precedence at a searcher, they divide its slots among themselves.

--- a/delegator/coordinator.go
+++ b/delegator/coordinator.go
@@ -104,24 +104,40 @@
 	return other.Capacity > 0 && host.Capacity >= MinCapacityRatio*other.Capacity
 }
 
-// CountCoordinators returns the number of hosts of the view that may coordinate queries of another one, and whether this host
-// is one of them. Hosts that are leaving do not count; hosts that are silent do, since they may be merely unreachable.
-func CountCoordinators(view *carobthread.View) (count int, coordinates bool) {
-	least := carobthread.Host{}
+// CoordinatorCount counts the hosts that may coordinate queries of another one.
+type CoordinatorCount struct {
+	// All is their number in all data centres, Local that in this host's.
+	All   int
+	Local int
+	// Self is set if this host is one of them.
+	Self bool
+}
+
+// CountCoordinators counts the coordinators of a view. Hosts that are leaving do not count; hosts that are silent do, since
+// they may be merely unreachable.
+func CountCoordinators(view *carobthread.View) CoordinatorCount {
+	count, self, least := CoordinatorCount{}, carobthread.Host{}, carobthread.Host{}
 	for i := range view.Hosts {
 		host := &view.Hosts[i]
+		if host.Name == view.Self {
+			self = *host
+		}
 		if host.State != carobthread.HostLeaving && host.Capacity > 0 && (least.Capacity == 0 || host.Capacity < least.Capacity) {
 			least = *host
 		}
 	}
 	for i := range view.Hosts {
 		host := &view.Hosts[i]
-		if host.State != carobthread.HostLeaving && Coordinates(host, &least) {
-			count++
-			coordinates = coordinates || host.Name == view.Self
+		if host.State == carobthread.HostLeaving || !Coordinates(host, &least) {
+			continue
+		}
+		count.All++
+		if host.DataCentre == self.DataCentre {
+			count.Local++
 		}
+		count.Self = count.Self || host.Name == view.Self
 	}
-	return count, coordinates
+	return count
 }
 
 // applyView replaces the coordinators by the live hosts with enough capacity and keeps what is known of them.
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -241,9 +241,13 @@
 }
 
 // fairShare returns this host's share of a local searcher's slots; above it, the searcher competes with remote replicas by
-// cost.
+// cost. The hosts of the data centre share the slots, or its coordinators if they send most attempts.
 func (gatherer *Gatherer) fairShare(searcher *searcherRow) int {
-	return (searcher.limit.Limit() + gatherer.localHosts - 1) / gatherer.localHosts
+	hosts := gatherer.localHosts
+	if gatherer.coordinators.coordinates && gatherer.reserves(searcher) {
+		hosts = max(1, gatherer.coordinators.local)
+	}
+	return (searcher.limit.Limit() + hosts - 1) / hosts
 }
 
 // replicaBit returns the bit of a replica in the tried and reached sets; all replicas from index 63 on share one bit.
--- a/gatherer/delegation.go
+++ b/gatherer/delegation.go
@@ -22,8 +22,8 @@
 
 // coordinatorCounts counts the hosts that may gather queries of others.
 type coordinatorCounts struct {
-	// live is the number at present, most the greatest number known at once.
-	live, most int
+	// live is the number at present, local that in this host's data centre, most the greatest number known at once.
+	live, local, most int
 	// coordinates is set while this host is one of them, since the given time.
 	coordinates bool
 	since       carobthread.Instant
@@ -31,7 +31,8 @@
 
 func (counts *coordinatorCounts) update(now carobthread.Instant, view *carobthread.View) {
 	previously := counts.coordinates
-	counts.live, counts.coordinates = delegator.CountCoordinators(view)
+	count := delegator.CountCoordinators(view)
+	counts.live, counts.local, counts.coordinates = count.All, count.Local, count.Self
 	counts.most = max(counts.most, counts.live)
 	if counts.coordinates && !previously {
 		counts.since = now
