Place attempts by expected cost and outstanding work

Cause: the choice of a replica followed a moving average of latencies, which one pause raises for seconds, and used reports only between equal costs. A Server-Load with a fourth figure was not read at all.

Change: where a searcher reports the slowness of its machine or waiting requests, the usable replica with the least expected completion is chosen: network, work left at the searcher, and cost times slowness. Package predictor keeps moving medians with their age, the outstanding work, and how far latencies have followed the reports, by which these count. Estimates that are too old fall back to the data centre's, the service's and the median latency. Elsewhere today's choice stands and nothing is recorded. The replies' load is parsed with and without the fourth figure and logged with it.

--- a/caller/header.go
+++ b/caller/header.go
@@ -13,21 +13,34 @@
 // maxRetryAfter bounds the time for which a searcher can refuse all requests of this host.
 const maxRetryAfter = time.Hour
 
-// parseLoad parses "running,waiting,slots"; it returns nil for any other form.
+// Numbers of fields in a load.
+const (
+	loadFields     = 3
+	slownessFields = 4
+)
+
+// parseLoad parses "running,waiting,slots" with or without ",slowness"; it returns nil for any other form. A slowness that is
+// not a positive number is ignored.
 func parseLoad(text string) *carobthread.Load {
 	fields := strings.Split(text, ",")
-	if len(fields) != 3 {
+	if len(fields) != loadFields && len(fields) != slownessFields {
 		return nil
 	}
-	numbers := [3]int{}
-	for i, field := range fields {
+	numbers := [loadFields]int{}
+	for i, field := range fields[:loadFields] {
 		number, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil {
 			return nil
 		}
 		numbers[i] = number
 	}
-	return &carobthread.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}
+	load := &carobthread.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}
+	if len(fields) == slownessFields {
+		if slowness, err := strconv.ParseFloat(strings.TrimSpace(fields[loadFields]), 64); err == nil && slowness > 0 {
+			load.Slowness = int(min(slowness, math.MaxInt32))
+		}
+	}
+	return load
 }
 
 // parseRateLimit parses a positive decimal number of requests per second; it returns 0, which means no limit, for any other
--- a/event.go
+++ b/event.go
@@ -119,6 +119,8 @@
 	Queued            int      `json:"queued"`
 	HeldSnapshots     []uint64 `json:"held-snapshots,omitempty"`
 	SnapshotAgeMicros int64    `json:"snapshot-age-us,omitempty"`
+	// Slowness is how long work takes on the searcher's machine now, in percent of the usual time, or 0 if not stated.
+	Slowness int `json:"slowness,omitempty"`
 }
 
 // ConfigChanged replaces the complete active configuration.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -128,7 +128,7 @@
 			Int64("connected-us", event.Timing.Connected.Microseconds()).Bool("new-connection", event.Timing.NewConnection).
 			Int64("first-byte-us", event.Timing.FirstByte.Microseconds()).Int64("complete-us", event.Timing.Complete.Microseconds())
 		if load := event.Load; load != nil {
-			line = line.Int("running", load.Running).Int("queued", load.Queued).Int("slots", load.Slots)
+			line = line.Int("running", load.Running).Int("queued", load.Queued).Int("slots", load.Slots).Int("slowness", load.Slowness)
 		}
 	case server.AttemptGivenUp:
 	}
--- a/forwarding.go
+++ b/forwarding.go
@@ -192,7 +192,8 @@
 	ExpectInstance string
 	// NotRun is present in responses of a searcher that did not run the request.
 	NotRun string
-	// Load holds the numbers of running requests, queued requests and slots of a searcher.
+	// Load holds the numbers of running requests, queued requests and slots of a searcher and, where it states that, how long
+	// work takes on its machine now in percent of the usual time.
 	Load string
 	// RateLimit holds the requests per second that a searcher accepts from all hosts together.
 	RateLimit string
--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -76,6 +76,7 @@
 	replica.searcher.limit.Start()
 	replica.searcher.rate.Take(gatherer.now)
 	gatherer.countCold(replica.searcher)
+	gatherer.recordSent(attempt)
 	state.inFlightAttempts[state.inFlightCount] = attempt
 	state.inFlightCount++
 	state.sent++
@@ -287,6 +288,7 @@
 	replica := attempt.replica
 	replica.inFlight--
 	replica.searcher.limit.Finish()
+	attempt.recordEnded()
 	if !replica.searcher.freed && len(gatherer.waitingShards) > 0 {
 		replica.searcher.freed = true
 		gatherer.freed = append(gatherer.freed, replica.searcher)
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -115,6 +115,13 @@
 	if best > classEjected || best.waits() {
 		return -1, best
 	}
+	if best <= classRemote && gatherer.predicts(row) {
+		index, class := gatherer.pickPredicted(row)
+		if gatherer.betterToWait(query, row, index) {
+			return -1, classSaturated
+		}
+		return index, class
+	}
 	index := gatherer.pick(row, best, count)
 	if row.group == nil {
 		return index, best
--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -375,6 +375,7 @@
 	searcher.reportedAt = gatherer.now
 	searcher.healthy = report.Healthy
 	searcher.load = report.Running + report.Queued
+	gatherer.recordLoad(searcher, report)
 	if len(report.HeldSnapshots) > 0 && gatherer.now.Sub(searcher.listedByReplyAt) >= reportAge {
 		if searcher.setHeld(gatherer.now, report.HeldSnapshots) {
 			gatherer.planEpoch++
--- a/gatherer/explanation.go
+++ b/gatherer/explanation.go
@@ -36,10 +36,10 @@
 // borrowChoice sets the time and a random generator for choices without effect, and returns the function that restores what
 // decisions depend on.
 func (gatherer *Gatherer) borrowChoice(now carobthread.Instant) (restore func()) {
-	before, random := gatherer.now, gatherer.random
+	before, random, predicted := gatherer.now, gatherer.random, gatherer.stats.Predicted
 	gatherer.now = max(gatherer.now, now)
 	gatherer.random = rand.New(rand.NewPCG(uint64(now), 0))
-	return func() { gatherer.now, gatherer.random = before, random }
+	return func() { gatherer.now, gatherer.random, gatherer.stats.Predicted = before, random, predicted }
 }
 
 func (gatherer *Gatherer) explainShard(query *queryRow, shard uint32) carobthread.ShardPlacement {
@@ -63,18 +63,22 @@
 		placement.Reason = reasonForClass(class)
 	}
 	for i := range row.replicas {
-		placement.Replicas = append(placement.Replicas, gatherer.explainReplica(row.replicas[i].row, gatherer.classes[i]))
+		placement.Replicas = append(placement.Replicas, gatherer.explainReplica(row, i))
 	}
 	return placement
 }
 
-func (gatherer *Gatherer) explainReplica(replica *replicaRow, class replicaClass) carobthread.ReplicaPlacement {
-	searcher := replica.searcher
+func (gatherer *Gatherer) explainReplica(row *shardRow, index int) carobthread.ReplicaPlacement {
+	replica := row.replicas[index].row
+	searcher, cost := replica.searcher, gatherer.cost(replica)
+	if gatherer.predicts(row) {
+		cost = gatherer.expectedTime(replica)
+	}
 	return carobthread.ReplicaPlacement{
 		Searcher:          searcher.config.Name,
 		DataCentre:        searcher.config.DataCentre,
-		Class:             class.String(),
-		CostMicros:        time.Duration(gatherer.cost(replica)).Microseconds(),
+		Class:             gatherer.classes[index].String(),
+		CostMicros:        time.Duration(cost).Microseconds(),
 		InFlight:          searcher.limit.Running(),
 		Limit:             searcher.limit.Limit(),
 		FailureRate:       searcher.recentFailureRate(gatherer.now),
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"carobthread"
+	"carobthread/predictor"
 	"carobthread/scheduler"
 	"carobthread/stopper"
 )
@@ -60,6 +61,10 @@
 	coldReported  int
 	// seen are the hosts that may send to cold searchers.
 	seen seenHosts
+	// predictedUntil is the end of the time in which reports of any searcher call for prediction.
+	predictedUntil carobthread.Instant
+	// belief tells how far the reports are believed.
+	belief predictor.Belief
 	// nextGroupSweepAt is when unused replica groups are next removed.
 	nextGroupSweepAt carobthread.Instant
 	// planEpoch is incremented whenever an input of the query plans changes.
@@ -106,6 +111,7 @@
 		centres:     map[string]*centreRow{},
 		queries:     map[carobthread.QueryID]*queryRow{},
 		attempts:    map[carobthread.AttemptID]*attemptRow{},
+		belief:      predictor.NewBelief(),
 		stats:       Stats{Refusals: map[carobthread.Reason]uint64{}, BlockedShards: map[carobthread.BlockCause]uint64{}},
 	}
 }
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -234,6 +234,7 @@
 	latency := gatherer.now.Sub(attempt.sentAt)
 	slow := attempt.replica.service.latency.slow(latency)
 	attempt.replica.observe(gatherer.now, latency)
+	gatherer.recordWork(attempt, latency)
 	attempt.replica.service.latency.record(gatherer.now, latency)
 	if slow {
 		gatherer.recordBadOutcome(attempt)
@@ -253,6 +254,7 @@
 	if attempt.kind == carobthread.AttemptFirst && service.latency.hedge > 0 && elapsed >= service.latency.hedge {
 		service.latency.record(gatherer.now, elapsed)
 	}
+	gatherer.recordUnfinished(attempt.replica, elapsed)
 	if service.latency.median > 0 && float64(elapsed) > attempt.replica.latency {
 		attempt.replica.observe(gatherer.now, elapsed)
 	}
--- a/gatherer/stats.go
+++ b/gatherer/stats.go
@@ -6,7 +6,7 @@
 	"carobthread"
 )
 
-// Stats holds the gatherer's counters since its start; the last four fields are gauges.
+// Stats holds the gatherer's counters since its start; the fields from QueriesInProgress on are gauges.
 type Stats struct {
 	// FirstAttempts, Hedges, Retries and Moves count the attempts sent by kind; all but first attempts are extra load.
 	FirstAttempts uint64 `json:"first-attempts"`
@@ -49,6 +49,8 @@
 	QueueLate  uint64 `json:"queue-late"`
 	// QueueShed counts the queries given up as not run to make room in a full queue.
 	QueueShed uint64 `json:"queue-shed"`
+	// Predicted counts the choices of a replica by its expected completion.
+	Predicted uint64 `json:"predicted"`
 	// BlockedShards counts the shards missing from answers by the cause for which they got no further attempt.
 	BlockedShards map[carobthread.BlockCause]uint64 `json:"blocked-shards"`
 
@@ -59,6 +61,10 @@
 	SearchersEvacuated int `json:"searchers-evacuated"`
 	// ColdSearchers counts the searchers that are cold.
 	ColdSearchers int `json:"cold-searchers"`
+	// QueueBelief and SlownessBelief are how far the searchers' reports of their queues and of their machines have come true,
+	// from 0 to 1.
+	QueueBelief    float64 `json:"queue-belief"`
+	SlownessBelief float64 `json:"slowness-belief"`
 }
 
 // Extra returns the number of attempts sent beyond the first of each shard.
@@ -72,6 +78,7 @@
 	stats.QueriesInProgress = len(gatherer.queries)
 	stats.AttemptsInFlight = len(gatherer.attempts)
 	stats.ColdSearchers = len(gatherer.coldSearchers)
+	stats.QueueBelief, stats.SlownessBelief = gatherer.belief.Queue.Weight(), gatherer.belief.Slowness.Weight()
 	for _, row := range gatherer.waitingShards {
 		stats.AttemptsWaiting += len(row.waiting)
 	}
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -9,6 +9,7 @@
 
 	"carobthread"
 	"carobthread/limiter"
+	"carobthread/predictor"
 	"carobthread/stopper"
 )
 
@@ -122,6 +123,8 @@
 	kind    carobthread.AttemptKind
 	// unpinned is set if the attempt asked for the searcher's newest snapshot.
 	unpinned bool
+	// forecast is what was expected of the attempt, or the zero value without prediction.
+	forecast predictor.Forecast
 	// reachesNew is set if no earlier attempt of the query was sent to the replica.
 	reachesNew bool
 }
@@ -141,9 +144,11 @@
 	// rate is this host's share.
 	rateLimit float64
 	// pausedUntil is the end of the time for which the searcher wants no requests of this host.
-	pausedUntil     carobthread.Instant
-	rate            limiter.Rate
-	cold            coldTime
+	pausedUntil carobthread.Instant
+	rate        limiter.Rate
+	cold        coldTime
+	// prediction is nil until a report calls for it.
+	prediction      *searcherPrediction
 	ejection        limiter.Ejection
 	connectionShare limiter.ConnectionShare
 	servedShards    []*shardRow
@@ -215,6 +220,8 @@
 	// latency is a moving average in nanoseconds, sampledAt the time of its last sample.
 	latency   float64
 	sampledAt carobthread.Instant
+	// prediction is nil until a reply has arrived while reports call for it.
+	prediction *replicaPrediction
 }
 
 // shardReplica is a replica of a shard in one layout.
@@ -260,6 +267,9 @@
 	admission limiter.Admission
 	budget    limiter.Budget
 	latency   latencyWindow
+	// work and centreCosts are the estimates for prediction, overall and by data centre.
+	work        predictor.Estimate
+	centreCosts []*centreCost
 	// history holds how long recent queries took, for the decisions of a graceful stop.
 	history stopper.History
 	// hedgingPausedUntil is when hedging may start again after an upstream has shed load.
--- a/placement.go
+++ b/placement.go
@@ -31,7 +31,8 @@
 	Searcher   string `json:"searcher"`
 	DataCentre string `json:"data-centre"`
 	Class      string `json:"class"`
-	// CostMicros is compared between replicas of one class.
+	// CostMicros is compared between replicas of one class, and between all local and remote ones where reports call for
+	// prediction; it is then the expected time until the reply.
 	CostMicros  int64   `json:"cost-us"`
 	InFlight    int     `json:"in-flight"`
 	Limit       int     `json:"limit"`
--- a/server/attempt.go
+++ b/server/attempt.go
@@ -164,7 +164,7 @@
 	}
 	if matches && reply.Load != nil {
 		search.stepLocked(carobthread.Event{Report: &carobthread.ReportArrived{
-			Searcher: action.Searcher, Healthy: true, Draining: reply.Draining, Running: reply.Load.Running, Queued: reply.Load.Queued,
+			Searcher: action.Searcher, Healthy: true, Draining: reply.Draining, Running: reply.Load.Running, Queued: reply.Load.Queued, Slowness: reply.Load.Slowness,
 		}})
 	}
 	search.applyBackpressureLocked(action.Searcher, event.Backpressure)
--- a/upstream.go
+++ b/upstream.go
@@ -103,6 +103,8 @@
 	Running int
 	Queued  int
 	Slots   int
+	// Slowness is how long work takes on the searcher's machine now, in percent of the usual time, or 0 if not stated.
+	Slowness int
 }
 
 // Upstream sends attempts to searchers.
