Refuse at once where the coordinators beside a host find a cut

The entry hosts stayed ready, since they sent too few attempts to find the cut.

Change: after such a refusal, coordinators elsewhere are passed over for 2 s, a query is refused as not run once the coordinators beside the host have refused it, and the host is not ready.

--- a/delegator/coordinator.go
+++ b/delegator/coordinator.go
@@ -83,7 +83,7 @@
 
 func (target *coordinator) avoidRefusing(now carobthread.Instant, reason carobthread.Reason, retryAfter time.Duration) {
 	switch reason {
-	case carobthread.ReasonLayoutMissing:
+	case carobthread.ReasonLayoutMissing, carobthread.ReasonCutOff:
 	case carobthread.ReasonOverload, carobthread.ReasonMemory:
 		target.avoidedUntil = now.Add(max(retryAfter, overloadPause))
 	case carobthread.ReasonStopping, carobthread.ReasonNotReady:
@@ -170,7 +170,7 @@
 	const centresTried = 2
 	tried := 0
 	for _, centre := range delegator.centreOrder(row.service) {
-		if len(delegator.centres[centre]) == 0 {
+		if len(delegator.centres[centre]) == 0 || centre != delegator.self.DataCentre && delegator.CutOff(delegator.now) {
 			continue
 		}
 		if target, first := delegator.chooseIn(centre, row); target != nil {
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -33,6 +33,10 @@
 	abortGrace = 2 * time.Millisecond
 	// returnMargin is the time reserved at the end of a query for the way of the answer, beyond the measured time.
 	returnMargin = 3 * time.Millisecond
+	// cutOffAge is how long this host's data centre counts as cut off after one of its coordinators has refused a query for that.
+	cutOffAge = 2 * time.Second
+	// cutOffRetryAfter is the retry delay of a caller refused for that; the retry may go to a host elsewhere.
+	cutOffRetryAfter = 50 * time.Millisecond
 	// recheckInterval is the time between two checks of whether a query that may not be repeated yet may be.
 	recheckInterval = 10 * time.Millisecond
 	// hedgeDelayDivisor divides the soft deadline; the result is the time of the grant if the coordinator states none.
@@ -86,8 +90,10 @@
 	queries  map[uint64]*query
 	stopping bool
 	answerBy carobthread.Instant
-	actions  []Action
-	stats    Stats
+	// cutOffUntil is until when this host's data centre counts as cut off.
+	cutOffUntil carobthread.Instant
+	actions     []Action
+	stats       Stats
 }
 
 // New returns a Delegator that delegates nothing before it has a configuration and a view with coordinators.
@@ -126,6 +132,10 @@
 	return delegator.actions
 }
 
+// CutOff reports whether a coordinator of this host's data centre has lately found that the others can't be reached. A host
+// that delegates its queries sends too few attempts to find that itself.
+func (delegator *Delegator) CutOff(now carobthread.Instant) bool { return now < delegator.cutOffUntil }
+
 // Active reports whether any live host may coordinate queries of this host.
 func (delegator *Delegator) Active() bool { return len(delegator.coordinators) > 0 }
 
@@ -242,9 +252,17 @@
 	delegator.stats.Refused[reason]++
 	if !aborted {
 		row.coordinator.avoidRefusing(delegator.now, reason, ended.RetryAfter)
+		cutOff := reason == carobthread.ReasonCutOff && row.coordinator.host.DataCentre == delegator.self.DataCentre
+		if cutOff {
+			delegator.cutOffUntil = delegator.now.Add(cutOffAge)
+		}
 		if reason != carobthread.ReasonLayoutMissing && delegator.send(row) {
 			return
 		}
+		if cutOff { // This host reaches no more searchers than the coordinators beside it.
+			delegator.emit(Action{Refuse: &Refuse{ID: row.id, Reason: reason, RetryAfter: cutOffRetryAfter}})
+			return
+		}
 	}
 	delegator.stats.Fallbacks[reason]++
 	delegator.emit(Action{Handle: &Handle{ID: row.id, SoftDeadline: row.softDeadline, Reason: reason}})
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -75,6 +75,8 @@
 		return ""
 	case "tick":
 		return run.step(delegator.Event{})
+	case "cut-off":
+		return fmt.Sprint(run.core.CutOff(run.now), ";")
 	case "stats":
 		return fmt.Sprintf(" %+v", run.core.Stats())
 	}
@@ -154,6 +156,8 @@
 			fmt.Fprintf(&output, " abort %d;", action.Abort.ID)
 		case action.Handle != nil:
 			fmt.Fprintf(&output, " handle %d searchers %d repeated %v %s;", action.Handle.ID, action.Handle.MaxSearchers, action.Handle.Repeated, action.Handle.Reason)
+		case action.Refuse != nil:
+			fmt.Fprintf(&output, " refuse %d %s after %s;", action.Refuse.ID, action.Refuse.Reason, action.Refuse.RetryAfter)
 		case action.Answer != nil:
 			fmt.Fprintf(&output, " answer %d;", action.Answer.ID)
 		case action.Fail != nil:
@@ -244,6 +248,10 @@
 			assert.Check(model.t, !unproven || !query.granted && action.Handle.Repeated && action.Handle.MaxSearchers == 1, "%+v %+v", action.Handle, query)
 		case action.Answer != nil:
 			model.end(model.queries[action.Answer.ID])
+		case action.Refuse != nil:
+			query := model.queries[action.Refuse.ID]
+			model.end(query)
+			assert.Check(model.t, !query.sent || query.proven, "refused without a proof that it has not run")
 		case action.Fail != nil:
 			model.end(model.queries[action.Fail.ID])
 		}
--- a/delegator/event.go
+++ b/delegator/event.go
@@ -56,6 +56,7 @@
 	Abort  *Abort
 	Handle *Handle
 	Answer *Answer
+	Refuse *Refuse
 	Fail   *Fail
 }
 
@@ -106,6 +107,13 @@
 	Reason carobthread.Reason
 }
 
+// Refuse asks the process to refuse the query, which has not run.
+type Refuse struct {
+	ID         uint64
+	Reason     carobthread.Reason
+	RetryAfter time.Duration
+}
+
 // Answer asks the process to pass the coordinator's outcome to the caller.
 type Answer struct{ ID uint64 }
 
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -337,7 +337,7 @@
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
 		cutOff := host.search.CutOffDataCentres()
-		host.forwarder.Divert(len(cutOff) > 0) // as the balancer does with new connections
+		host.forwarder.Divert(len(cutOff) > 0 || host.delegation.CutOff()) // as the balancer does with new connections
 		if !host.acceptsCallers(cutOff) {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/runner/status.go
+++ b/runner/status.go
@@ -123,9 +123,9 @@
 }
 
 // acceptsCallers reports whether the balancer may send callers to this host; it sends them elsewhere while data centres are
-// cut off.
+// cut off, as this host or the coordinators of its queries have found.
 func (host *ForwardingHost) acceptsCallers(cutOff []string) bool {
-	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0
+	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0 && !host.delegation.CutOff()
 }
 
 func (host *ForwardingHost) serveStatus(writer http.ResponseWriter, _ *http.Request) {
--- a/server/delegation.go
+++ b/server/delegation.go
@@ -157,6 +157,13 @@
 	return delegation.options.Core.Stats()
 }
 
+// CutOff reports whether a coordinator of this host's data centre has lately found that the others can't be reached.
+func (delegation *Delegation) CutOff() bool {
+	delegation.mutex.Lock()
+	defer delegation.mutex.Unlock()
+	return delegation.options.Core.CutOff(delegation.options.Timer.Now())
+}
+
 // Pending returns the number of queries in progress at coordinators.
 func (delegation *Delegation) Pending() int {
 	delegation.mutex.Lock()
@@ -219,6 +226,10 @@
 		if action.Handle.Repeated {
 			outcome = mayHaveRun(outcome)
 		}
+	case action.Refuse != nil:
+		outcome = Outcome{Refusal: &carobthread.RefuseQuery{
+			Service: pending.query.Request.Service, Reason: action.Refuse.Reason, RetryAfterMicros: action.Refuse.RetryAfter.Microseconds(),
+		}}
 	case action.Fail != nil:
 		outcome = Outcome{Answer: &carobthread.AnswerQuery{
 			Service: pending.query.Request.Service, Failed: true,
@@ -281,6 +292,8 @@
 		}
 	case action.Handle != nil:
 		delegation.resolve(action.Handle.ID, action, delegationTakenBack, action.Handle.Reason)
+	case action.Refuse != nil:
+		delegation.resolve(action.Refuse.ID, action, delegationRefused, action.Refuse.Reason)
 	case action.Answer != nil:
 		delegation.resolve(action.Answer.ID, action, delegationAnswered, "")
 	case action.Fail != nil:
