Check the class of a chosen replica in the test of placements

Cause: with attempts that wait permitted, the test accepted a chosen replica of any class.

Change: a chosen replica is local or remote.

Measured: go test ./cmd/carobthreadd -count=2 -run TestForwardingPlacement.

--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -596,6 +596,7 @@
 	for _, shard := range search.Placements[0].Shards {
 		assert.Equal(t, len(shard.Replicas), replicaCount)
 		assert.Assert(t, shard.Waits != (shard.Chosen != "") && shard.Reason == "", "%+v", shard) // they may be cold
+		assert.Assert(t, shard.Waits || shard.Class == "local" || shard.Class == "remote", "%+v", shard)
 		for _, replica := range shard.Replicas {
 			assert.Assert(t, replica.Searcher != shard.Chosen || replica.Class == shard.Class, "%+v", shard)
 		}
