Keep cut-off entry hosts out of the balancer until a host elsewhere answers

Change: the cut counts until a host in another data centre answers an exchange, for which such hosts are chosen, or for 10 s. /status shows it with the cuts that the host has found itself.

Measured: go test ./delegator ./runner and the tests of the directory and of delegation in ./server pass.

--- a/delegator/coordinator.go
+++ b/delegator/coordinator.go
@@ -147,6 +147,12 @@
 			delegator.self = view.Hosts[i]
 		}
 	}
+	delegator.otherCentres = nil
+	for i := range view.Hosts {
+		if centre := view.Hosts[i].DataCentre; centre != delegator.self.DataCentre && !slices.Contains(delegator.otherCentres, centre) {
+			delegator.otherCentres = append(delegator.otherCentres, centre)
+		}
+	}
 	previous := delegator.coordinators
 	delegator.coordinators = map[string]*coordinator{}
 	delegator.centres = map[string][]*coordinator{}
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -33,8 +33,9 @@
 	abortGrace = 2 * time.Millisecond
 	// returnMargin is the time reserved at the end of a query for the way of the answer, beyond the measured time.
 	returnMargin = 3 * time.Millisecond
-	// cutOffAge is how long this host's data centre counts as cut off after one of its coordinators has refused a query for that.
-	cutOffAge = 2 * time.Second
+	// cutOffAge is how long this host's data centre counts as cut off after one of its coordinators has refused a query for
+	// that, unless a host elsewhere answers earlier. It is several times the interval between exchanges with other hosts.
+	cutOffAge = 10 * time.Second
 	// cutOffRetryAfter is the retry delay of a caller refused for that; the retry may go to a host elsewhere.
 	cutOffRetryAfter = 50 * time.Millisecond
 	// recheckInterval is the time between two checks of whether a query that may not be repeated yet may be.
@@ -91,9 +92,10 @@
 	stopping bool
 	answerBy carobthread.Instant
 	// cutOffUntil is until when this host's data centre counts as cut off.
-	cutOffUntil carobthread.Instant
-	actions     []Action
-	stats       Stats
+	cutOffUntil  carobthread.Instant
+	otherCentres []string
+	actions      []Action
+	stats        Stats
 }
 
 // New returns a Delegator that delegates nothing before it has a configuration and a view with coordinators.
@@ -125,6 +127,8 @@
 		delegator.end(event.Ended)
 	case event.Gone != nil:
 		delegator.abandon(event.Gone.ID)
+	case event.Reached != nil:
+		delegator.cutOffUntil = 0
 	case event.Stop != nil:
 		delegator.stop(event.Stop.AnswerBy)
 	}
@@ -136,6 +140,9 @@
 // that delegates its queries sends too few attempts to find that itself.
 func (delegator *Delegator) CutOff(now carobthread.Instant) bool { return now < delegator.cutOffUntil }
 
+// OtherCentres returns the data centres of the other hosts in the view, without this host's own.
+func (delegator *Delegator) OtherCentres() []string { return delegator.otherCentres }
+
 // Active reports whether any live host may coordinate queries of this host.
 func (delegator *Delegator) Active() bool { return len(delegator.coordinators) > 0 }
 
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -75,6 +75,8 @@
 		return ""
 	case "tick":
 		return run.step(delegator.Event{})
+	case "reached":
+		return run.step(delegator.Event{Reached: &carobthread.DataCentreReached{DataCentre: "west"}})
 	case "cut-off":
 		return fmt.Sprint(run.core.CutOff(run.now), ";")
 	case "stats":
--- a/delegator/event.go
+++ b/delegator/event.go
@@ -15,7 +15,9 @@
 	Accepted *Accepted
 	Ended    *Ended
 	Gone     *Gone
-	Stop     *carobthread.StopBegun
+	// Reached reports that a host in another data centre has answered this host.
+	Reached *carobthread.DataCentreReached
+	Stop    *carobthread.StopBegun
 }
 
 // QueryArrived is a caller's query on this host.
--- a/runner/forwarding.go
+++ b/runner/forwarding.go
@@ -219,7 +219,7 @@
 
 		EvacuationBound: host.settings.Store.EvacuationBound,
 		OnView:          host.setView,
-		Observer:        host.search,
+		Observer:        host.observer(),
 	})
 	host.buildDelegation(self)
 	handler.Directory, handler.Delegation, handler.Coordination = host.directory, host.delegation, host.coordination
@@ -336,8 +336,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
-		cutOff := host.search.CutOffDataCentres()
-		host.forwarder.Divert(len(cutOff) > 0 || host.delegation.CutOff()) // as the balancer does with new connections
+		cutOff := host.observer().CutOffDataCentres()
+		host.forwarder.Divert(len(cutOff) > 0) // as the balancer does with new connections
 		if !host.acceptsCallers(cutOff) {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/runner/status.go
+++ b/runner/status.go
@@ -101,7 +101,7 @@
 
 // Status returns the current state of the host.
 func (host *ForwardingHost) Status() ForwardingStatus {
-	cutOff := host.search.CutOffDataCentres()
+	cutOff := host.observer().CutOffDataCentres()
 	return ForwardingStatus{
 		Host:       host.settings.Host.Name,
 		DataCentre: host.settings.Host.DataCentre,
@@ -125,7 +125,7 @@
 // acceptsCallers reports whether the balancer may send callers to this host; it sends them elsewhere while data centres are
 // cut off, as this host or the coordinators of its queries have found.
 func (host *ForwardingHost) acceptsCallers(cutOff []string) bool {
-	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0 && !host.delegation.CutOff()
+	return host.ready.Load() && !host.stopping.Load() && len(cutOff) == 0
 }
 
 func (host *ForwardingHost) serveStatus(writer http.ResponseWriter, _ *http.Request) {
--- a/server/delegation.go
+++ b/server/delegation.go
@@ -157,11 +157,20 @@
 	return delegation.options.Core.Stats()
 }
 
-// CutOff reports whether a coordinator of this host's data centre has lately found that the others can't be reached.
-func (delegation *Delegation) CutOff() bool {
+// CutOffDataCentres returns all other data centres if a coordinator of this host's own one has found that they can't be
+// reached, and no host there has answered since.
+func (delegation *Delegation) CutOffDataCentres() []string {
 	delegation.mutex.Lock()
 	defer delegation.mutex.Unlock()
-	return delegation.options.Core.CutOff(delegation.options.Timer.Now())
+	if !delegation.options.Core.CutOff(delegation.options.Timer.Now()) {
+		return nil
+	}
+	return delegation.options.Core.OtherCentres()
+}
+
+// MarkReachable tells the core that a host of the data centre has answered.
+func (delegation *Delegation) MarkReachable(dataCentre string) {
+	delegation.step(delegator.Event{Reached: &carobthread.DataCentreReached{DataCentre: dataCentre}})
 }
 
 // Pending returns the number of queries in progress at coordinators.
