Predict placements only where searchers state how long work takes

Cause: reports of waiting requests switched prediction on as well, so that earlier deployments, whose Server-Load has three figures, were served otherwise than before while requests waited.

Change: only a fourth figure switches it on.

--- a/gatherer/prediction.go
+++ b/gatherer/prediction.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// predictionAge is how long a searcher's reports call for prediction after the last one that states how long work takes or
-	// that requests wait.
+	// predictionAge is how long a searcher's reports call for prediction after the last one that states how long work takes.
 	predictionAge = 10 * time.Second
 	// predictionTie is the ratio within which two expected times count as equal.
 	predictionTie = 1.1
@@ -47,7 +46,7 @@
 		return
 	}
 	prediction := searcher.prediction
-	if report.Slowness > 0 || report.Queued > 0 {
+	if report.Slowness > 0 {
 		if prediction == nil {
 			prediction = &searcherPrediction{}
 			searcher.prediction = prediction
