--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -40,8 +40,7 @@
 
 // ReturnAfter returns how long a refused caller is to wait until the queue is short enough for it. Callers refused at the same
 // time are spread over half of the wait; random is from 0 to below 1. A wider spread, over the time that the queue takes for
-// all callers refused so far, brought them back too late for their target: with a shard at a third of its searchers, 28% of
-// the callers were answered by their target instead of 40%.
+// all callers refused so far, would bring most of them back too late for their target.
 func ReturnAfter(wait time.Duration, random float64) time.Duration {
 	wait = max(wait, minReturn)
 	return wait + time.Duration(random*float64(wait)/2)
