Add review case 6: a reset answer without a length counts as complete

A searcher breaks off an answer without a length before it has read the request's long body, and its closing resets the connection. The client gets 200 with the whole answer's seal and half of the body.

--- /dev/null
+++ b/review/standins-2/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases returns the cases by the number of their folder.
+func cases() map[string]caseFunc {
+	return map[string]caseFunc{"6": case6}
+}
--- /dev/null
+++ b/review/standins-2/record.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// record is the file that states what was sent, answered and run.
+type record struct {
+	mutex   sync.Mutex
+	output  *os.File
+	started time.Time
+}
+
+// write adds a line with the time since the start; it is printed as well.
+func (record *record) write(format string, arguments ...any) {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+	line := fmt.Sprintf("%8.3f  %s\n", time.Since(record.started).Seconds(), fmt.Sprintf(format, arguments...))
+	_, _ = record.output.WriteString(line)
+	fmt.Print(line)
+}
