Add review case 9: a request reaches more searchers than maxAttempts

In a service with 78 searchers, those from index 63 on share one bit in the set of searchers that a request was sent to. Searchers that lose answers make some requests with maxAttempts 2 run on three searchers.

--- /dev/null
+++ b/review/standins-2/case_9.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Case 9: searchers of a large service run requests and lose the answers. Counted are the searchers that ran each client
+// attempt.
+const (
+	case9Searchers = 78
+	case9Calm      = 11 * time.Second // fills the window of the retry budget
+	case9Span      = 4 * time.Second
+	case9Pause     = 2 * time.Second
+	case9Rounds    = 3
+	case9Interval  = time.Millisecond
+	case9Work      = 5 * time.Millisecond
+	case9Allowed   = 3 // requests that may run on more searchers than the route's maxAttempts
+)
+
+func case9(env *environment) (bool, error) {
+	store, err := startStore(env)
+	if err != nil {
+		return false, err
+	}
+	putRoute(store, "safe")
+	var mutex sync.Mutex
+	var rounds lossRounds
+	ranAt := map[string]map[string]bool{}
+	err = startSearchers(env, store, case9Searchers, func(index int, searcher *searcher) {
+		count := index
+		searcher.onRun = func(exchange *exchange) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			if ranAt[exchange.id] == nil {
+				ranAt[exchange.id] = map[string]bool{}
+			}
+			ranAt[exchange.id][searcher.id] = true
+		}
+		searcher.handle = func(exchange *exchange) bool {
+			mutex.Lock()
+			count++
+			lost := rounds.losing && index%2 == 0 && count%5 < 2
+			mutex.Unlock()
+			time.Sleep(case9Work)
+			if lost {
+				_ = exchange.conn.SetLinger(0)
+				return false
+			}
+			return exchange.succeed([]byte("medals"))
+		}
+	})
+	if err != nil {
+		return false, err
+	}
+	hosts, err := startHosts(env, store, case9Searchers, zones()...)
+	if err != nil {
+		return false, err
+	}
+	var clients sync.WaitGroup
+	statuses := map[int]int{}
+	var ids []string
+	began := time.Now()
+	for ; time.Since(began) < case9Calm+case9Rounds*(case9Span+case9Pause); time.Sleep(case9Interval) {
+		mutex.Lock()
+		if env.disrupted && rounds.update(time.Since(began)-case9Calm) {
+			env.record.write("every second searcher loses two answers in five: %v", rounds.losing)
+		}
+		mutex.Unlock()
+		sent := newRequest(http.MethodGet, nil)
+		ids = append(ids, sent.id)
+		host := hosts[len(ids)%len(hosts)]
+		clients.Go(func() {
+			got := sent.do(host.address)
+			mutex.Lock()
+			defer mutex.Unlock()
+			statuses[got.status]++
+		})
+	}
+	clients.Wait()
+	mutex.Lock()
+	defer mutex.Unlock()
+	over := 0
+	for _, id := range ids {
+		if len(ranAt[id]) > maxAttempts {
+			over++
+			env.record.write("request %s ran on %d searchers, maxAttempts is %d", id, len(ranAt[id]), maxAttempts)
+		}
+	}
+	env.record.write("%d requests, answers by status: %v; %d ran on more than %d searchers", len(ids), statuses, over, maxAttempts)
+	return over > case9Allowed, nil
+}
+
+// lossRounds states whether answers are lost now.
+type lossRounds struct{ losing bool }
+
+// update sets the state for the time since the first round and reports whether it has changed.
+func (rounds *lossRounds) update(since time.Duration) bool {
+	losing := since >= 0 && since%(case9Span+case9Pause) < case9Span
+	changed := losing != rounds.losing
+	rounds.losing = losing
+	return changed
+}
