--- a/review/standins-2/case_9.go
+++ b/review/standins-2/case_10.go
@@ -6,20 +6,20 @@
 	"time"
 )
 
-// Case 9: searchers of a large service run requests and lose the answers. Counted are the searchers that ran each client
+// Case 10: searchers of a large service run requests and lose the answers. Counted are the searchers that ran each client
 // attempt.
 const (
-	case9Searchers = 78
-	case9Calm      = 11 * time.Second // fills the window of the retry budget
-	case9Span      = 4 * time.Second
-	case9Pause     = 2 * time.Second
-	case9Rounds    = 3
-	case9Interval  = time.Millisecond
-	case9Work      = 5 * time.Millisecond
-	case9Allowed   = 3 // requests that may run on more searchers than the route's maxAttempts
+	case10Searchers = 78
+	case10Calm      = 11 * time.Second // fills the window of the retry budget
+	case10Span      = 4 * time.Second
+	case10Pause     = 2 * time.Second
+	case10Rounds    = 3
+	case10Interval  = time.Millisecond
+	case10Work      = 5 * time.Millisecond
+	case10Allowed   = 3 // requests that may run on more searchers than the route's maxAttempts
 )
 
-func case9(env *environment) (bool, error) {
+func case10(env *environment) (bool, error) {
 	store, err := startStore(env)
 	if err != nil {
 		return false, err
@@ -28,7 +28,7 @@
 	var mutex sync.Mutex
 	var rounds lossRounds
 	ranAt := map[string]map[string]bool{}
-	err = startSearchers(env, store, case9Searchers, func(index int, searcher *searcher) {
+	err = startSearchers(env, store, case10Searchers, func(index int, searcher *searcher) {
 		count := index
 		searcher.onRun = func(exchange *exchange) {
 			mutex.Lock()
@@ -43,7 +43,7 @@
 			count++
 			lost := rounds.losing && index%2 == 0 && count%5 < 2
 			mutex.Unlock()
-			time.Sleep(case9Work)
+			time.Sleep(case10Work)
 			if lost {
 				_ = exchange.conn.SetLinger(0)
 				return false
@@ -54,7 +54,7 @@
 	if err != nil {
 		return false, err
 	}
-	hosts, err := startHosts(env, store, case9Searchers, zones()...)
+	hosts, err := startHosts(env, store, case10Searchers, zones()...)
 	if err != nil {
 		return false, err
 	}
@@ -62,9 +62,9 @@
 	statuses := map[int]int{}
 	var ids []string
 	began := time.Now()
-	for ; time.Since(began) < case9Calm+case9Rounds*(case9Span+case9Pause); time.Sleep(case9Interval) {
+	for ; time.Since(began) < case10Calm+case10Rounds*(case10Span+case10Pause); time.Sleep(case10Interval) {
 		mutex.Lock()
-		if env.disrupted && rounds.update(time.Since(began)-case9Calm) {
+		if env.disrupted && rounds.update(time.Since(began)-case10Calm) {
 			env.record.write("every second searcher loses two answers in five: %v", rounds.losing)
 		}
 		mutex.Unlock()
@@ -89,7 +89,7 @@
 		}
 	}
 	env.record.write("%d requests, answers by status: %v; %d ran on more than %d searchers", len(ids), statuses, over, maxAttempts)
-	return over > case9Allowed, nil
+	return over > case10Allowed, nil
 }
 
 // lossRounds states whether answers are lost now.
@@ -97,7 +97,7 @@
 
 // update sets the state for the time since the first round and reports whether it has changed.
 func (rounds *lossRounds) update(since time.Duration) bool {
-	losing := since >= 0 && since%(case9Span+case9Pause) < case9Span
+	losing := since >= 0 && since%(case10Span+case10Pause) < case10Span
 	changed := losing != rounds.losing
 	rounds.losing = losing
 	return changed
