--- a/review/standins-2/case_10.go
+++ b/review/standins-2/case_10.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -59,7 +61,7 @@
 		return false, err
 	}
 	var clients sync.WaitGroup
-	statuses := map[int]int{}
+	statuses, answered := map[int]int{}, map[string]int{}
 	var ids []string
 	began := time.Now()
 	for ; time.Since(began) < case10Calm+case10Rounds*(case10Span+case10Pause); time.Sleep(case10Interval) {
@@ -76,6 +78,7 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			statuses[got.status]++
+			answered[sent.id] = got.status
 		})
 	}
 	clients.Wait()
@@ -83,6 +86,7 @@
 	defer mutex.Unlock()
 	over := 0
 	for _, id := range ids {
+		env.record.detail("request %s is answered %d and ran at %v", id, answered[id], slices.Sorted(maps.Keys(ranAt[id])))
 		if len(ranAt[id]) > maxAttempts {
 			over++
 			env.record.write("request %s ran on %d searchers, maxAttempts is %d", id, len(ranAt[id]), maxAttempts)
--- a/review/standins-2/case_6.go
+++ b/review/standins-2/case_6.go
@@ -33,6 +33,7 @@
 	err = startSearchers(env, store, case6Searchers, func(index int, searcher *searcher) {
 		var count atomic.Int64
 		searcher.lazyBody = true
+		searcher.onRun = func(exchange *exchange) { env.record.detail("searcher %s runs request %s", searcher.id, exchange.id) }
 		searcher.handle = func(exchange *exchange) bool {
 			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nConnection: close\r\n\r\n", exchange.id, seal(exchange.id, whole))
 			number := count.Add(1)
@@ -82,14 +83,11 @@
 func case6Request(env *environment, host *daemon) bool {
 	sent := newRequest(http.MethodPost, make([]byte, case6BodySize))
 	got := sent.do(host.address)
-	if got.err != nil || got.status != http.StatusOK {
-		env.record.write("request %s: %s", sent.id, got)
-	}
+	env.record.detail("request %s, POST of %d bytes: %s", sent.id, len(sent.body), got)
 	reason := got.wrongSuccess(sent.id)
 	if reason == "" {
 		return false
 	}
-	env.record.write("request %s: %s", sent.id, got)
-	env.record.write("  MIXED: %s: %d of %d bytes", reason, len(got.body), case6Answer)
+	env.record.write("  MIXED, request %s: %s: %d of %d bytes", sent.id, reason, len(got.body), case6Answer)
 	return true
 }
--- a/review/standins-2/case_8.go
+++ b/review/standins-2/case_8.go
@@ -60,7 +60,10 @@
 	err = startSearchers(env, store, case8Searchers, func(index int, searcher *searcher) {
 		var mutex sync.Mutex
 		count := 0
-		searcher.onRun = func(exchange *exchange) { book.run(exchange.id, string(exchange.body)) }
+		searcher.onRun = func(exchange *exchange) {
+			env.record.detail("searcher %s runs request %s, %s", searcher.id, exchange.id, exchange.body)
+			book.run(exchange.id, string(exchange.body))
+		}
 		searcher.handle = func(exchange *exchange) bool {
 			mutex.Lock()
 			count++
@@ -89,6 +92,7 @@
 			sent := newRequest(http.MethodPost, []byte(order))
 			got := sent.do(hosts[(orders+attempt)%len(hosts)].address)
 			if !got.refused() {
+				env.record.detail("request %s, %s: %s", sent.id, order, got)
 				break
 			}
 			runs := book.runs(sent.id)
