Refuse a reply without a length whose connection was reset while its request was written

Cause: a body over 8 KB is written by its own goroutine while the reply is read. The operating system reports a reset once for each socket. If the writer receives it, the reader sees the end of the stream, which ends a reply without a length.

Change: at the end of such a reply, the write is ended and its result decides. An error other than the write's own deadline makes the reply incomplete, and the request may have run. The same cause elsewhere: the configuration service's responses without a length are refused, since a part of a document may be a valid one. The searcher API refused them already; messages between hosts have lengths, and the store's responses are single JSON objects.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"sync"
 	"time"
 
@@ -239,7 +238,7 @@
 			return nil, err
 		}
 	}
-	if err == nil && closeDelimited(response) {
+	if err == nil && carobthread.EndsWithConnection(response) {
 		_ = response.Body.Close()
 		return nil, errors.New("the reply has neither a length nor chunked encoding; truncation could not be detected")
 	}
@@ -271,12 +270,6 @@
 	return prepared, nil
 }
 
-// closeDelimited reports whether the end of the reply is marked only by the end of the connection,
-// so that a truncated reply looks like a complete one.
-func closeDelimited(response *http.Response) bool {
-	return response.ProtoMajor == 1 && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
-}
-
 // newRequestError converts an error to a *RequestError. A *RequestError returned by permit keeps its reason.
 func newRequestError(state carobthread.RunState, service string, err error) *carobthread.RequestError {
 	var refusal *carobthread.RequestError
--- a/caller/http1_conn.go
+++ b/caller/http1_conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -135,7 +136,10 @@
 		stopAfterFunc()
 		return nil, contextError(ctx, err)
 	}
-	response.Body = &replyBody{ReadCloser: response.Body, ctx: ctx, client: client, stopAfterFunc: stopAfterFunc, writeResult: writeResult, closesConn: response.Close}
+	response.Body = &replyBody{
+		ReadCloser: response.Body, ctx: ctx, client: client, stopAfterFunc: stopAfterFunc, writeResult: writeResult,
+		closesConn: response.Close, endsWithConn: carobthread.EndsWithConnection(response) && response.Body != http.NoBody,
+	}
 	return response, nil
 }
 
@@ -148,7 +152,9 @@
 		request.Body = &sentBody{ReadCloser: request.Body, transfer: transfer}
 		go func() {
 			defer transfer.End()
-			writeResult <- request.Write(client.conn)
+			connWriter := &errorWriter{Writer: client.conn}
+			err := request.Write(connWriter)
+			writeResult <- cmp.Or(connWriter.err, err)
 		}()
 		return writeResult, nil
 	}
@@ -184,6 +190,21 @@
 	return count, err
 }
 
+// errorWriter keeps the error of a failed write, which net/http wraps so that its cause can't be examined.
+type errorWriter struct {
+	io.Writer
+	err error
+}
+
+// Write writes to the underlying writer.
+func (writer *errorWriter) Write(data []byte) (int, error) {
+	count, err := writer.Writer.Write(data)
+	if err != nil {
+		writer.err = err
+	}
+	return count, err
+}
+
 func (client *http1Conn) readHead(request *http.Request) (*http.Response, error) {
 	for range maxInformational {
 		client.limit.N = maxHeaderBytes
@@ -226,10 +247,12 @@
 	stopAfterFunc func() bool
 	writeResult   <-chan error
 	closesConn    bool
-	ended         bool
+	// endsWithConn is set if only the end of the connection marks the end of the reply.
+	endsWithConn bool
+	ended        bool
 }
 
-// Read reads from the body; at EOF it decides whether the connection can be reused.
+// Read reads from the body; at EOF it decides whether the reply is complete and whether the connection can be reused.
 func (body *replyBody) Read(buffer []byte) (int, error) {
 	count, err := body.ReadCloser.Read(buffer)
 	if err == nil || body.ended {
@@ -239,10 +262,30 @@
 	if !errors.Is(err, io.EOF) {
 		return count, contextError(body.ctx, err)
 	}
+	if body.endsWithConn {
+		if resetErr := body.checkNotReset(); resetErr != nil {
+			return count, contextError(body.ctx, fmt.Errorf("the reply has no length and its connection broke: %w", resetErr))
+		}
+		return count, err
+	}
 	body.client.reuseErr = body.checkReuse()
 	return count, err
 }
 
+// checkNotReset returns an error if the connection may have been reset before the end of the reply. The operating system
+// reports a reset once for each socket: if the goroutine that writes the request receives it, the reader sees an orderly end.
+func (body *replyBody) checkNotReset() error {
+	// The searcher has stopped sending, so that the rest of the request does not matter; a write that waits ends now.
+	if err := body.client.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	err := <-body.writeResult
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil // the write has received no reset
+	}
+	return err
+}
+
 // checkReuse returns why the connection cannot be reused, or nil.
 func (body *replyBody) checkReuse() error {
 	select {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -157,11 +157,17 @@
 	}
 }
 
+// errNoLength is returned for a response whose truncation could not be detected; a part of a value may be a valid value.
+var errNoLength = errors.New("the response has neither a length nor chunked encoding")
+
 func readValue(key string, response *http.Response) (carobthread.Value, error) {
 	revision, err := strconv.ParseUint(response.Header.Get(RevisionHeader), 10, 64)
 	if err != nil {
 		return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: fmt.Errorf("header %s: %w", RevisionHeader, err)}
 	}
+	if carobthread.EndsWithConnection(response) {
+		return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: errNoLength}
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, MaxValueSize+1))
 	if err != nil {
 		return carobthread.Value{}, &carobthread.PlatformError{Key: key, Cause: err}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -144,7 +144,8 @@
 	assert.Equal(t, fixture.platform.RateLimitedCalls(), uint64(2))
 }
 
-// Guards against accepting invalid responses: too large, without a revision, redirected or truncated.
+// Guards against accepting invalid responses: too large, without a revision, redirected, truncated, or without a length so that
+// a truncation would not show.
 func TestInvalidResponses(t *testing.T) {
 	for message, respond := range map[string]func(header http.Header) (int, string){
 		"value exceeds 1048576 bytes": func(header http.Header) (int, string) {
@@ -161,6 +162,11 @@
 			header.Set("Content-Length", "10")
 			return http.StatusOK, "x"
 		},
+		"neither a length nor chunked encoding": func(header http.Header) (int, string) {
+			header.Set(watcher.RevisionHeader, "1")
+			header.Set("Transfer-Encoding", "identity") // net/http then ends the response with its connection
+			return http.StatusOK, "x"
+		},
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 			status, content := respond(writer.Header())
