Don't pass on a searcher's failure whose status promises that nothing has run

Cause: a searcher's signed failure was passed on unchanged, also with 408, 421, 429 or 503, which callers take as the promise that the request has not run. Besides, any 421 counted as a proof that nothing ran, so that the host itself sent a request again which the searcher named in it had run.

Change: such a failure is answered 502 without a signature, for requests of every kind.

--- a/caller/http.go
+++ b/caller/http.go
@@ -373,7 +373,11 @@
 		Load:    parseLoad(response.Header.Get(names.Load)),
 	}
 	signature := response.Header.Get(names.Signature)
-	if shed := len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0; response.StatusCode != http.StatusMisdirectedRequest && (shed || signature != "") {
+	statedNotRun := len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0
+	// A searcher that is not the expected one signs nothing. The expected one may fail with the same status after it has run the
+	// request; then only its statement shows that it has not.
+	misdirected := response.StatusCode == http.StatusMisdirectedRequest && (statedNotRun || signature == "")
+	if !misdirected && (statedNotRun || signature != "") {
 		reply.Backpressure = &carobthread.Backpressure{
 			RateLimit: parseRateLimit(response.Header.Get(names.RateLimit)),
 			Leaving:   strings.TrimSpace(response.Header.Get(names.Leaving)) == "1",
@@ -384,9 +388,9 @@
 		reply.Draining = reply.Backpressure.Leaving
 	}
 	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest:
+	case misdirected:
 		reply.Status = carobthread.ReplyMisdirected
-	case len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0:
+	case statedNotRun:
 		reply.Status = carobthread.ReplyShed
 	case signature == "" || response.Header.Get("Content-Encoding") != "":
 	default:
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -6,6 +6,7 @@
 //
 //   - a success is one searcher's complete signed reply, or consists of records from signed replies
 //     that belong to a single version of the routing table;
-//   - 429 and 503 are sent only for requests that have not run and will not run;
+//   - 408, 421, 429 and 503 are sent only for requests that have not run and will not run, also where a searcher answers
+//     with one of them without stating so;
 //   - the attempts of a request end as soon as its caller disconnects.
 package forwarder
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -279,7 +279,7 @@
 	switch {
 	case outcome.Answer.Failed && outcome.Answer.NotRun:
 		forwarder.refuse(writer, record, firstMissingReason(outcome.Answer), time.Duration(outcome.Answer.RetryAfterMicros)*time.Microsecond)
-	case outcome.Answer.Failed && len(choice.Route.Shards) == 0 && outcome.Rejected != nil:
+	case outcome.Answer.Failed && len(choice.Route.Shards) == 0 && outcome.Rejected != nil && !promisesNotRun(outcome.Rejected.HTTP.Status):
 		forwarder.writeReply(writer, record, outcome.Rejected.HTTP)
 	case outcome.Answer.Failed:
 		reason, status := firstMissingReason(outcome.Answer), http.StatusBadGateway
@@ -294,6 +294,16 @@
 	}
 }
 
+// promisesNotRun reports whether callers take the status as the promise that the request has not run and never will. A failure
+// that a searcher signs promises nothing, so it is not passed on with such a status.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func firstMissingReason(answer *carobthread.AnswerQuery) carobthread.Reason {
 	if len(answer.Coverage.Missing) == 0 {
 		return carobthread.ReasonTimeout
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -124,7 +124,7 @@
 			line = line.Int64("waited-us", event.Inputs.Waited.Microseconds())
 		}
 	case server.AttemptEnded:
-		line = line.Str("status", string(event.Status)).AnErr("error", event.Cause).
+		line = line.Str("status", string(event.Status)).Int("http-status", event.HTTPStatus).AnErr("error", event.Cause).
 			Int64("connected-us", event.Timing.Connected.Microseconds()).Bool("new-connection", event.Timing.NewConnection).
 			Int64("first-byte-us", event.Timing.FirstByte.Microseconds()).Int64("complete-us", event.Timing.Complete.Microseconds())
 		if load := event.Load; load != nil {
--- a/internal/standin/http_searcher.go
+++ b/internal/standin/http_searcher.go
@@ -47,6 +47,7 @@
 	draining              atomic.Bool
 	heartbeatsPaused      atomic.Bool
 	responsesToDrop       atomic.Int64
+	failureStatus         atomic.Int64
 	rejecting             atomic.Bool
 	serviceTime           atomic.Int64
 	requestsWhileDraining atomic.Int64
@@ -115,6 +116,9 @@
 // DropResponses makes the searcher run the next count requests but close the connection instead of responding.
 func (searcher *HTTPSearcher) DropResponses(count int) { searcher.responsesToDrop.Store(int64(count)) }
 
+// FailRuns makes the searcher run the requests and then answer them with the status and its signature; 0 ends that.
+func (searcher *HTTPSearcher) FailRuns(status int) { searcher.failureStatus.Store(int64(status)) }
+
 // RejectWithCopies makes the searcher reject a third of the requests as not run and send a late second copy of every
 // rejection, or ends that.
 func (searcher *HTTPSearcher) RejectWithCopies(rejecting bool) { searcher.rejecting.Store(rejecting) }
@@ -257,6 +261,9 @@
 	}
 	writer.Header().Set(names.Signature, id+"."+searcher.options.Group+"."+searcher.options.ID)
 	writer.Header().Set(names.Load, strconv.Itoa(len(searcher.slots))+",0,"+strconv.Itoa(searcher.options.Slots))
+	if status := searcher.failureStatus.Load(); status != 0 {
+		writer.WriteHeader(int(status))
+	}
 	_, _ = writer.Write(body) // the caller may have disconnected
 }
 
--- a/server/attempt.go
+++ b/server/attempt.go
@@ -41,6 +41,8 @@
 	Inputs   carobthread.ChoiceInputs
 	Status   carobthread.ReplyStatus
 	Cause    error
+	// HTTPStatus is the status of a searcher's own HTTP response, or 0.
+	HTTPStatus int
 	// Timing and Load are those of the reply; they are zero without one, and Load may be nil.
 	Timing carobthread.AttemptTiming
 	Load   *carobthread.Load
@@ -156,6 +158,9 @@
 		}
 		if matches {
 			ended.Timing, ended.Load = reply.Timing, reply.Load
+			if reply.HTTP != nil {
+				ended.HTTPStatus = reply.HTTP.Status
+			}
 		}
 		query.attemptEvents = append(query.attemptEvents, ended)
 		if matches {
