Answer a call that panicked with a status that does not promise "not run"

A connect call that panicked stated in a header that it may have run, but its code Unavailable is HTTP 503, which callers of plain HTTP take as the promise that nothing has run.

Change: codes that become 429 or 503 are used only for failures that state "not run"; others get Unknown (500).

Evidence: TestPanicInCallIsNotAnsweredAsNotRun got 503 before, 500 now.

--- a/server/failure.go
+++ b/server/failure.go
@@ -32,8 +32,17 @@
 	return mapped
 }
 
+// codeOf returns a code whose HTTP status, such as 503 and 429, may state that the request has not run only if that is so.
 func codeOf(failure *carobthread.RequestError) connect.Code {
-	switch failure.Reason {
+	code := codeOfReason(failure.Reason)
+	if failure.State != carobthread.NotRun && (code == connect.CodeUnavailable || code == connect.CodeResourceExhausted) {
+		return connect.CodeUnknown
+	}
+	return code
+}
+
+func codeOfReason(reason carobthread.Reason) connect.Code {
+	switch reason {
 	case carobthread.ReasonUnknownService:
 		return connect.CodeNotFound
 	case carobthread.ReasonWrongKind, carobthread.ReasonMalformedKey, carobthread.ReasonPayloadMismatch:
--- a/server/panic_test.go
+++ b/server/panic_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
@@ -14,6 +18,7 @@
 	"carobthread/executor"
 	"carobthread/gatherer"
 	"carobthread/rpc/carobthreadv1"
+	"carobthread/rpc/carobthreadv1/carobthreadv1connect"
 	"carobthread/server"
 	"carobthread/timer"
 )
@@ -109,6 +114,28 @@
 	assert.NilError(t, execution.Wait(t.Context()))
 }
 
+// panickingHandler panics in each call.
+type panickingHandler struct {
+	carobthreadv1connect.UnimplementedQueryServiceHandler
+}
+
+func (*panickingHandler) Execute(context.Context, *connect.Request[carobthreadv1.ExecuteRequest]) (*connect.Response[carobthreadv1.ExecuteResponse], error) {
+	panic("unexpected request")
+}
+
+// Guards against a call that may have run and whose HTTP status, such as 503, tells its caller that it has not.
+func TestPanicInCallIsNotAnsweredAsNotRun(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(carobthreadv1connect.NewQueryServiceHandler(&panickingHandler{}, connect.WithRecover(server.RecoverCall(zerolog.Nop()))))
+	httpServer := httptest.NewServer(mux)
+	defer httpServer.Close()
+	response, err := httpServer.Client().Post(httpServer.URL+carobthreadv1connect.QueryServiceExecuteProcedure, "application/json", strings.NewReader("{}"))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, carobthread.RunState(response.Header.Get("Carobthread-State")), carobthread.MayHaveRun)
+}
+
 // panickingStore panics in its first reads.
 type panickingStore struct {
 	listOnlyStore
