Count all searchers of a large service towards a request's limit

Cause: the sets of tried and reached searchers were words of 64 bits in which all searchers from index 63 on shared one bit. Two of them counted as one, and a request at its limit could go to any of them.

Change: a set for any number of searchers, whose first word takes the shards of ordinary size without an allocation. Other sets and counters of searchers, shards, hosts and attempts were read; none is narrower than what it counts.

Evidence: on the code before, TestSearcherLimitHoldsInLargeShards passed up to 64 searchers and failed from 65 or 78 on at each limit (128 searchers, limit 2: 84 of 100 queries); TestEachReplicaOfLargeShardIsTriedOnce tried 68 of 300 searchers before it began again. Both pass now.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -67,7 +67,7 @@
 		kind:     kind,
 		unpinned: !query.current.pinned,
 
-		reachesNew: state.reached&replicaBit(index) == 0,
+		reachesNew: !state.reached.has(index),
 	}
 	gatherer.attempts[attempt.id] = attempt
 	replica.inFlight++
@@ -80,8 +80,8 @@
 	state.inFlightAttempts[state.inFlightCount] = attempt
 	state.inFlightCount++
 	state.sent++
-	state.tried |= replicaBit(index)
-	state.reached |= replicaBit(index)
+	state.tried.add(index)
+	state.reached.add(index)
 	state.freeRetry = false
 	state.checkAt = 0
 	state.blocked = carobthread.BlockedNotChecked
@@ -214,7 +214,7 @@
 		gatherer.wantGrant(query)
 	case class == classTried:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
-		state.tried = 0
+		state.tried.clear()
 		gatherer.checkLater(query, state, time.Duration(state.sent)*max(pollInterval, query.service.latency.median))
 	default:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
--- a/gatherer/blocked.go
+++ b/gatherer/blocked.go
@@ -17,7 +17,7 @@
 	switch {
 	case service.config.AtMostOnce:
 		return carobthread.BlockedAtMostOnce
-	case query.withheld && state.reached != 0:
+	case query.withheld && state.reached.count() > 0:
 		return carobthread.BlockedNotGranted
 	case state.atSearcherLimit(query):
 		return carobthread.BlockedSearcherLimit
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -212,6 +212,7 @@
 func (gatherer *Gatherer) classify(query *queryRow, shard uint32, index int) replicaClass {
 	replica := &query.current.layout.shards[shard].replicas[index]
 	searcher := replica.row.searcher
+	state := &query.current.shards[shard]
 	switch {
 	case !searcher.staying():
 		return classGone
@@ -221,9 +222,7 @@
 		return classLacksLayout
 	case query.current.pinned && gatherer.lacksSnapshot(searcher, query.current.snapshot):
 		return classLacksSnapshot
-	case query.current.shards[shard].tried&replicaBit(index) != 0:
-		return classTried
-	case query.current.shards[shard].reached&replicaBit(index) == 0 && query.current.shards[shard].atSearcherLimit(query):
+	case state.tried.has(index), !state.reached.has(index) && state.atSearcherLimit(query):
 		return classTried
 	case gatherer.coldBlocked(searcher):
 		return classCold
@@ -257,9 +256,6 @@
 	return (searcher.limit.Limit() + hosts - 1) / hosts
 }
 
-// replicaBit returns the bit of a replica in the tried and reached sets; all replicas from index 63 on share one bit.
-func replicaBit(index int) uint64 { return 1 << min(index, 63) }
-
 // free reports whether one more attempt may be sent, which needs a slot and a connection of its own. A searcher that several
 // services use keeps one slot in reserve for each of the others.
 func (replica *replicaRow) free() bool {
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -267,7 +267,7 @@
 		state := &query.current.shards[shard]
 		state.closed = false
 		state.reason = ""
-		state.tried = 0
+		state.tried.clear()
 		state.sent = 0
 	}
 	query.pendingShards = len(query.current.shards) - query.current.answered
--- a/gatherer/reply.go
+++ b/gatherer/reply.go
@@ -65,7 +65,7 @@
 	}
 	if state.reply == 0 && unpinned && reply.Status == carobthread.ReplyOK {
 		// The searcher was asked for its newest snapshot and not for this one, so it may be tried again.
-		state.tried &^= replicaBit(index)
+		state.tried.remove(index)
 	}
 	if state.reply == 0 && state.inFlightCount == 0 && !state.closed {
 		gatherer.recover(query, shard)
@@ -186,7 +186,7 @@
 func (gatherer *Gatherer) revertUnsentAttempt(attempt *attemptRow, state *shardState) {
 	state.sent--
 	if attempt.reachesNew {
-		state.reached &^= replicaBit(attempt.index)
+		state.reached.remove(attempt.index)
 	}
 	first, grouped := attempt.kind == carobthread.AttemptFirst, attempt.query.group(attempt.shard) != nil
 	if grouped && !first {
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -38,9 +37,9 @@
 	// blocked is why the last check of the shard sent no attempt, and blockedClass the best class of its replicas then.
 	blocked      carobthread.BlockCause
 	blockedClass replicaClass
-	// tried has a bit for each replica that was sent an attempt in the current round, reached for each one in any round.
-	tried   uint64
-	reached uint64
+	// tried holds the replicas that were sent an attempt in the current round, reached those in any round.
+	tried   replicaSet
+	reached replicaSet
 	// freeRetry is set after a first attempt in a replica group that reached no searcher, since its retry is no extra load.
 	freeRetry bool
 	reply     carobthread.AttemptID
@@ -312,7 +311,7 @@
 
 // atSearcherLimit reports whether the shard's attempts have reached as many searchers as the query permits.
 func (state *shardState) atSearcherLimit(query *queryRow) bool {
-	reached := bits.OnesCount64(state.reached)
+	reached := state.reached.count()
 	return reached >= query.maxSearchers || query.withheld && reached > 0
 }
 
