Pause between rounds of attempts that reach no searcher

Found by a test of large shards: where every searcher of a shard refuses connections, the pause before the next round was proportional to the attempts that had reached a searcher, which is 0 then. The core looped without end at one instant; a process would have dialled until the request's deadline.

Change: the pause is that of at least one attempt.

Evidence: TestAttemptsPauseWhenNoSearcherIsReached stopped at its 5,000 attempts before, and passes now.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -215,7 +215,7 @@
 	case class == classTried:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
 		state.tried.clear()
-		gatherer.checkLater(query, state, time.Duration(state.sent)*max(pollInterval, query.service.latency.median))
+		gatherer.checkLater(query, state, time.Duration(max(1, state.sent))*max(pollInterval, query.service.latency.median))
 	default:
 		state.setBlocked(carobthread.BlockedNoReplica, class)
 		gatherer.recoverByMove(query, shard, reasonForClass(class))
--- a/gatherer/large_shard_test.go
+++ b/gatherer/large_shard_test.go
@@ -94,3 +94,12 @@
 	assert.Assert(t, len(searchers) >= replicas, "%d attempts", len(searchers))
 	assert.Equal(t, distinct(searchers[:replicas]), replicas)
 }
+
+// Guards against a query that sends attempts without a pause, until its deadline, while every searcher of a shard refuses
+// connections.
+func TestAttemptsPauseWhenNoSearcherIsReached(t *testing.T) {
+	core, now := gatherer.New(1, gatherer.Options{}), carobthread.Instant(time.Hour)
+	core.Step(carobthread.Event{At: now, Config: &carobthread.ConfigChanged{Config: largeShard(3, 2)}})
+	searchers := failingQuery(core, &now, 1, carobthread.ReplyNotSent)
+	assert.Assert(t, len(searchers) < maxSeenAttempts, "%d attempts", len(searchers))
+}
