Split the gatherer's largest files by what they decide

query.go, config.go and choice.go held three to four jobs each. Admission, the resolution of layouts, the cost of replicas and the baseline policies have files of their own now, and the free lists of queries and attempts are one type.

--- a/gatherer/attempt.go
+++ b/gatherer/attempt.go
@@ -56,7 +56,7 @@
 	inputs := gatherer.inputs(replica, class)
 	state := &query.current.shards[shard]
 	gatherer.nextAttempt++
-	attempt := gatherer.newAttempt()
+	attempt := gatherer.freeAttempts.take()
 	*attempt = attemptRow{
 		id:       gatherer.nextAttempt,
 		query:    query,
@@ -242,17 +242,6 @@
 	gatherer.wake(query, state.checkAt)
 }
 
-// recoverBaseline retries without a budget, up to three attempts in total; the RandomReplica baseline does not retry.
-func (gatherer *Gatherer) recoverBaseline(query *queryRow, shard uint32) {
-	const attempts = 3
-	state := &query.current.shards[shard]
-	if gatherer.options.RandomReplica || gatherer.now >= query.deadline || state.sent >= attempts {
-		gatherer.closeShard(query, shard, carobthread.ReasonUpstreamFailed)
-		return
-	}
-	gatherer.dispatch(query, shard, carobthread.AttemptRetry)
-}
-
 // cancelInFlight cancels the shard's attempts in flight.
 func (gatherer *Gatherer) cancelInFlight(query *queryRow, state *shardState) {
 	for i := range state.inFlightAttempts[:state.inFlightCount] {
@@ -295,15 +284,5 @@
 	}
 	delete(gatherer.attempts, attempt.id)
 	*attempt = attemptRow{}
-	gatherer.freeAttempts = append(gatherer.freeAttempts, attempt)
-}
-
-func (gatherer *Gatherer) newAttempt() *attemptRow {
-	last := len(gatherer.freeAttempts) - 1
-	if last < 0 {
-		return &attemptRow{}
-	}
-	attempt := gatherer.freeAttempts[last]
-	gatherer.freeAttempts = gatherer.freeAttempts[:last]
-	return attempt
+	gatherer.freeAttempts.give(attempt)
 }
--- a/gatherer/choice.go
+++ b/gatherer/choice.go
@@ -67,18 +67,11 @@
 	reportAge = time.Second
 	// heldAge is how long a searcher's list of held snapshots is trusted to rule it out for other snapshots.
 	heldAge = 5 * time.Second
-	// latencyAge is how long a replica's latency estimate is valid after its last sample.
-	latencyAge = 5 * time.Second
 	// localBias is the factor by which the cost of a local replica may exceed that of a remote one before the remote one is
 	// chosen.
 	localBias = 2
 	// failureAge is how long a searcher's failure rate is valid after its last sample.
 	failureAge = 2 * time.Second
-	// failureCost is the time that a failed attempt adds, as a multiple of the latency: the failure must be detected and
-	// another attempt sent, which also uses up budget.
-	failureCost = 5
-	// costTie is the ratio within which the costs of two replicas count as equal.
-	costTie = 1.1
 )
 
 // choose returns the index and class of the replica for the next attempt at a shard, or -1 and the best class if no attempt
@@ -135,36 +128,6 @@
 	return index, best
 }
 
-// betterToWait reports whether the chosen replica is expected to reply too late while a saturated one would still reply in
-// time after the attempts that already wait. Without this check, slow searchers get the load that exceeds the capacity of
-// the fast ones and reply too late to count.
-func (gatherer *Gatherer) betterToWait(query *queryRow, row *shardRow, chosen int) bool {
-	left := query.softDeadline.Sub(gatherer.now)
-	if left <= 0 || gatherer.recentLatency(row.replicas[chosen].row) <= left {
-		return false
-	}
-	for i, class := range gatherer.classes {
-		replica := row.replicas[i].row
-		if class != classSaturated || gatherer.now < replica.searcher.stalledUntil {
-			continue
-		}
-		latency := gatherer.recentLatency(replica)
-		wait := time.Duration(float64(len(row.waiting)+1) / gatherer.throughput(replica) * float64(time.Second)) // not throttled, so not 0
-		if latency > 0 && wait+latency <= left {
-			return true
-		}
-	}
-	return false
-}
-
-// recentLatency returns the replica's latency estimate, or 0 if it has none or an outdated one.
-func (gatherer *Gatherer) recentLatency(replica *replicaRow) time.Duration {
-	if replica.sampledAt < gatherer.resumedAt || replica.sampledAt == 0 || gatherer.now.Sub(replica.sampledAt) > latencyAge {
-		return 0
-	}
-	return time.Duration(replica.latency)
-}
-
 // preferLocal returns the local replica, or the cheapest remote one if the local cost exceeds its cost by more than
 // localBias, so that a slow searcher does not keep the load of its data centre. It skips data centres that may be cut off.
 // It applies to replica groups only: the service budget is too small to make up for attempts at a data centre that has
@@ -301,103 +264,6 @@
 	return searcher.heldAt != 0 && searcher.heldAt >= gatherer.resumedAt && gatherer.now.Sub(searcher.heldAt) < heldAge
 }
 
-// cheaper returns the replica with the lower cost; recent reports decide only between nearly equal costs.
-func (gatherer *Gatherer) cheaper(row *shardRow, first, second int) int {
-	one := row.replicas[first].row
-	other := row.replicas[second].row
-	oneCost := gatherer.cost(one)
-	otherCost := gatherer.cost(other)
-	switch {
-	case oneCost*costTie < otherCost:
-		return first
-	case otherCost*costTie < oneCost:
-		return second
-	case gatherer.reportedWorse(one.searcher, other.searcher):
-		return second
-	case gatherer.reportedWorse(other.searcher, one.searcher):
-		return first
-	case otherCost < oneCost:
-		return second
-	}
-	return first
-}
-
-// cost returns the latency estimate, increased by the expected cost of failures and multiplied by the load relative to the
-// limit.
-func (gatherer *Gatherer) cost(replica *replicaRow) float64 {
-	latency := float64(gatherer.recentLatency(replica))
-	if latency == 0 {
-		latency = float64(max(time.Millisecond, replica.service.latency.median))
-	}
-	latency *= 1 + failureCost*replica.searcher.recentFailureRate(gatherer.now)
-	limit := &replica.searcher.limit
-	if replica.searcher.config.Cold.Limit > 0 && limit.Starting() && limit.Running() == 0 {
-		// Relative to a limit of one, an idle searcher would look as loaded as a full one, get no requests and never leave slow
-		// start.
-		return latency / float64(limit.Slots())
-	}
-	return latency * float64(limit.Running()+1) / float64(limit.Limit())
-}
-
-// reportedWorse reports whether recent reports show the first searcher as less healthy or more loaded than the second.
-func (gatherer *Gatherer) reportedWorse(one, other *searcherRow) bool {
-	if !gatherer.reportIsRecent(one) || !gatherer.reportIsRecent(other) {
-		return false
-	}
-	if one.healthy != other.healthy {
-		return other.healthy
-	}
-	return one.load > other.load
-}
-
-// idle reports whether a recent report of the searcher shows no more load than slots.
-func (gatherer *Gatherer) idle(searcher *searcherRow) bool {
-	return gatherer.reportIsRecent(searcher) && searcher.load <= searcher.config.Slots
-}
-
-func (gatherer *Gatherer) reportIsRecent(searcher *searcherRow) bool {
-	return searcher.reportedAt != 0 && searcher.reportedAt >= gatherer.resumedAt && gatherer.now.Sub(searcher.reportedAt) < reportAge
-}
-
-// chooseBaseline returns a random configured replica, or with OriginalPolicy the less loaded of two random ones with a free
-// slot.
-func (gatherer *Gatherer) chooseBaseline(row *shardRow) (int, replicaClass) {
-	gatherer.classes = gatherer.classes[:0]
-	count := 0
-	for i := range row.replicas {
-		class := gatherer.classifyBaseline(row.replicas[i].row.searcher)
-		gatherer.classes = append(gatherer.classes, class)
-		if class == classLocal {
-			count++
-		}
-	}
-	if count == 0 {
-		return -1, classGone
-	}
-	first := gatherer.nth(classLocal, gatherer.random.IntN(count))
-	if gatherer.options.RandomReplica {
-		return first, classLocal
-	}
-	second := gatherer.nth(classLocal, gatherer.random.IntN(count))
-	if row.replicas[second].row.searcher.limit.Running() < row.replicas[first].row.searcher.limit.Running() {
-		return second, classLocal
-	}
-	return first, classLocal
-}
-
-func (gatherer *Gatherer) classifyBaseline(searcher *searcherRow) replicaClass {
-	if gatherer.options.RandomReplica {
-		if searcher.known && !searcher.config.Leaving {
-			return classLocal
-		}
-		return classGone
-	}
-	if !searcher.usable() || searcher.limit.Running() >= searcher.limit.Slots() {
-		return classGone
-	}
-	return classLocal
-}
-
 // reasonForClass returns the reason to report for a shard whose best replica class cannot be used.
 func reasonForClass(class replicaClass) carobthread.Reason {
 	switch class {
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -85,8 +85,8 @@
 
 	actions      []carobthread.Action
 	sends        []carobthread.SendAttempt
-	freeQueries  []*queryRow
-	freeAttempts []*attemptRow
+	freeQueries  freeList[queryRow]
+	freeAttempts freeList[attemptRow]
 	due          []*queryRow
 	classes      []replicaClass
 	tallies      []snapshotTally
