Keep the count of searchers reached when a query moves to another layout

Change: a move carries the searchers that the query has reached, for the shards of the same replica group in both layouts.

Evidence: TestSearcherLimitHoldsOverMoves reached 2 searchers with a limit of 1 before, and passes now.

--- a/gatherer/large_shard_test.go
+++ b/gatherer/large_shard_test.go
@@ -103,3 +103,51 @@
 	searchers := failingQuery(core, &now, 1, carobthread.ReplyNotSent)
 	assert.Assert(t, len(searchers) < maxSeenAttempts, "%d attempts", len(searchers))
 }
+
+// Guards against a query that begins to count the searchers it was sent to anew when it moves to a layout with other searchers
+// of the same shard.
+func TestSearcherLimitHoldsOverMoves(t *testing.T) {
+	for _, limit := range []int{1, 2} {
+		core, now := gatherer.New(1, gatherer.Options{}), carobthread.Instant(time.Hour)
+		before := largeShard(limit, limit)
+		core.Step(carobthread.Event{At: now, Config: &carobthread.ConfigChanged{Config: before}})
+		for id := range carobthread.QueryID(200) { // fills the budget of moves
+			for _, action := range core.Step(carobthread.Event{At: now, Query: &carobthread.QueryArrived{Query: id + 2, Service: "matching"}}) {
+				reply := replyTo(action.Send)
+				core.Step(carobthread.Event{At: now, Reply: &reply})
+			}
+		}
+		reached := map[string]bool{}
+		var last *carobthread.SendAttempt
+		step := func(event carobthread.Event) {
+			event.At = now
+			for _, action := range core.Step(event) {
+				if action.Send != nil {
+					last = action.Send
+					reached[last.Searcher] = true
+				}
+			}
+		}
+		fail := func() {
+			reply := replyTo(last)
+			reply.Searcher, reply.Status = last.Searcher, carobthread.ReplyFailed
+			step(carobthread.Event{Reply: &reply})
+		}
+		step(carobthread.Event{Query: &carobthread.QueryArrived{Query: 1, Service: "matching"}})
+		for range limit - 1 {
+			fail()
+		}
+		assert.Equal(t, len(reached), limit)
+		after := largeShard(limit+3, limit)
+		after.Services[0].Layout, after.Layouts[0].Generation = 2, 2
+		after.Layouts[0].Shards[0] = after.Layouts[0].Shards[0][limit:]
+		after.Searchers = after.Searchers[limit:]
+		step(carobthread.Event{Config: &carobthread.ConfigChanged{Config: after}})
+		fail()
+		for range 100 {
+			now = now.Add(5 * time.Millisecond)
+			step(carobthread.Event{Tick: &carobthread.TickArrived{}})
+		}
+		assert.Equal(t, len(reached), limit, "a query that may reach %d searchers reached %v", limit, reached)
+	}
+}
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -4,6 +4,7 @@
 // cached until one of its inputs changes or planAge has passed.
 
 import (
+	"slices"
 	"time"
 
 	"carobthread"
@@ -263,6 +264,7 @@
 		query.fallback = &previous
 		query.current = newCandidate(plan, nil)
 	}
+	query.current.countReached(&previous)
 	for shard := range query.current.shards {
 		state := &query.current.shards[shard]
 		state.closed = false
@@ -273,6 +275,36 @@
 	query.pendingShards = len(query.current.shards) - query.current.answered
 }
 
+// countReached adds the searchers that another candidate was sent to, for the shards that are the same in both layouts, since a
+// query may not reach more searchers of a shard by moving.
+func (current *candidate) countReached(previous *candidate) {
+	shards := map[*groupRow]int{}
+	for shard := range previous.shards {
+		shards[previous.layout.shards[shard].group] = shard
+	}
+	delete(shards, nil)
+	for shard := range current.shards {
+		old, same := shards[current.layout.shards[shard].group]
+		if !same {
+			continue
+		}
+		state, replicas := &current.shards[shard], current.layout.shards[shard].replicas
+		for index := range previous.layout.shards[old].replicas {
+			if !previous.shards[old].reached.has(index) {
+				continue
+			}
+			searcher := previous.layout.shards[old].replicas[index].row.searcher
+			known := slices.IndexFunc(replicas, func(replica shardReplica) bool { return replica.row.searcher == searcher })
+			if known >= 0 {
+				state.reached.add(known)
+			} else {
+				state.reachedElsewhere++
+			}
+		}
+		state.reachedElsewhere += previous.shards[old].reachedElsewhere
+	}
+}
+
 func newCandidate(plan *queryPlan, shards []shardState) candidate {
 	count := len(plan.layout.shards)
 	if cap(shards) < count {
--- a/gatherer/table.go
+++ b/gatherer/table.go
@@ -40,6 +40,9 @@
 	// tried holds the replicas that were sent an attempt in the current round, reached those in any round.
 	tried   replicaSet
 	reached replicaSet
+	// reachedElsewhere counts the searchers of an earlier layout that the query was sent to for this shard and that the
+	// present one lacks.
+	reachedElsewhere int
 	// freeRetry is set after a first attempt in a replica group that reached no searcher, since its retry is no extra load.
 	freeRetry bool
 	reply     carobthread.AttemptID
@@ -311,7 +314,7 @@
 
 // atSearcherLimit reports whether the shard's attempts have reached as many searchers as the query permits.
 func (state *shardState) atSearcherLimit(query *queryRow) bool {
-	reached := state.reached.count()
+	reached := state.reached.count() + state.reachedElsewhere
 	return reached >= query.maxSearchers || query.withheld && reached > 0
 }
 
