Believe the header of a rejection whose body breaks off

A searcher that rejects a request before it has read its long body resets the connection. The header states that nothing has run, but with the body lost the attempt counted as one that may have run, so that a request that must run once was answered 502 in place of being sent elsewhere. Refusing replies whose connection was reset would have made this more frequent for rejections without a length.

Change: if the header proves that nothing has run, the body and its framing do not matter; the connection is not used again.

--- a/caller/http.go
+++ b/caller/http.go
@@ -241,9 +241,9 @@
 	if httpRequest.Method == http.MethodHead {
 		length = 0 // the reply states the length that the reply to a GET has
 	}
-	body, err := caller.readBody(response.Body, length, conn, request.Request.Account)
-	if err != nil {
-		return nil, false, fmt.Errorf("read reply: %w", err)
+	body, readErr := caller.readBody(response.Body, length, conn, request.Request.Account)
+	if readErr != nil && caller.rejection(response) == "" { // the header of a rejection says all
+		return nil, false, fmt.Errorf("read reply: %w", readErr)
 	}
 	names := &caller.options.Headers
 	if err := checkEcho(response.Header.Get(names.RequestID), request.Request.ID, conn.lastUsedAt != 0); err != nil {
@@ -253,7 +253,7 @@
 	conn.lastUsedAt = caller.options.Timer.Now()
 	reply = caller.classifyReply(request, response, body)
 	reply.Timing.FirstByte = firstByte
-	reusable = !response.Close && request.Request.ID != ""
+	reusable = readErr == nil && !response.Close && request.Request.ID != ""
 	if reply.Status != carobthread.ReplyOK {
 		reusable = conn.recordUnresolved(request.Request.ID) && reusable
 	}
@@ -362,6 +362,24 @@
 	return &url.URL{Scheme: "http", Host: address, Path: unescaped, RawPath: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
 }
 
+// rejection returns ReplyMisdirected or ReplyShed if the header of the response proves that the searcher has not run the request,
+// and an empty status otherwise.
+//
+// A searcher that is not the expected one answers 421 and signs nothing. The expected one may fail with the same status after it
+// has run the request; then only its statement shows that it has not.
+func (caller *HTTPCaller) rejection(response *http.Response) carobthread.ReplyStatus {
+	names := &caller.options.Headers
+	statedNotRun := len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0
+	signed := response.Header.Get(names.Signature) != ""
+	switch {
+	case response.StatusCode == http.StatusMisdirectedRequest && (statedNotRun || !signed):
+		return carobthread.ReplyMisdirected
+	case statedNotRun:
+		return carobthread.ReplyShed
+	}
+	return ""
+}
+
 // classifyReply returns the reply with the status that follows from its HTTP status and headers.
 func (caller *HTTPCaller) classifyReply(request *carobthread.ShardRequest, response *http.Response, body []byte) *carobthread.ShardReply {
 	names := &caller.options.Headers
@@ -373,11 +391,8 @@
 		Load:    parseLoad(response.Header.Get(names.Load)),
 	}
 	signature := response.Header.Get(names.Signature)
-	statedNotRun := len(response.Header[http.CanonicalHeaderKey(names.NotRun)]) > 0
-	// A searcher that is not the expected one signs nothing. The expected one may fail with the same status after it has run the
-	// request; then only its statement shows that it has not.
-	misdirected := response.StatusCode == http.StatusMisdirectedRequest && (statedNotRun || signature == "")
-	if !misdirected && (statedNotRun || signature != "") {
+	rejection := caller.rejection(response)
+	if rejection == carobthread.ReplyShed || rejection == "" && signature != "" {
 		reply.Backpressure = &carobthread.Backpressure{
 			RateLimit: parseRateLimit(response.Header.Get(names.RateLimit)),
 			Leaving:   strings.TrimSpace(response.Header.Get(names.Leaving)) == "1",
@@ -388,10 +403,8 @@
 		reply.Draining = reply.Backpressure.Leaving
 	}
 	switch {
-	case misdirected:
-		reply.Status = carobthread.ReplyMisdirected
-	case statedNotRun:
-		reply.Status = carobthread.ReplyShed
+	case rejection != "":
+		reply.Status = rejection
 	case signature == "" || response.Header.Get("Content-Encoding") != "":
 	default:
 		reply.HTTP = &carobthread.HTTPReply{Status: response.StatusCode, Header: response.Header, Body: body, Signature: signature}
--- a/caller/reset_test.go
+++ b/caller/reset_test.go
@@ -96,6 +96,27 @@
 	}
 }
 
+// Guards against a rejection that counts as a request that may have run because its connection is reset after its header, as
+// where a searcher rejects a request before it has read the long body. The header alone states that nothing has run.
+func TestHTTPResetRejectionIsNotRun(t *testing.T) {
+	for name, rejection := range map[string]struct {
+		reply  string
+		status carobthread.ReplyStatus
+	}{
+		"shed":        {"HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n\r\nfull", carobthread.ReplyShed},
+		"misdirected": {"HTTP/1.1 421 No\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nother", carobthread.ReplyMisdirected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replies, failures := searchOften(t, startSearcher(t, resetAfter(rejection.reply)))
+			for _, reply := range replies {
+				assert.Equal(t, reply.Status, rejection.status)
+			}
+			// The reset may arrive before the header is read.
+			assert.Assert(t, len(replies) > 0, "%d requests failed", len(failures))
+		})
+	}
+}
+
 // Guards against a complete reply without a length that is refused, or held until the deadline, since its searcher has not read
 // the whole request when it answers.
 func TestHTTPReplyWithoutLengthToLongBody(t *testing.T) {
