Let the soak's searchers fail the bookings that they have run

Its check now also refuses 408, 421 and 429 for bookings. The regression seeds keep the faults that they chose from when they failed.

--- a/cmd/carobthreadd/forwarding_test.go
+++ b/cmd/carobthreadd/forwarding_test.go
@@ -329,6 +329,8 @@
 		case answer.status == http.StatusServiceUnavailable:
 			assert.Check(t, runs[id] == 0, "booking %s was refused as not run but ran", id)
 			assert.Check(t, answer.retryAfter != "", "booking %s was refused without Retry-After", id)
+		case answer.status == http.StatusRequestTimeout, answer.status == http.StatusMisdirectedRequest, answer.status == http.StatusTooManyRequests:
+			t.Errorf("booking %s was answered %d, which promises that it has not run", id, answer.status)
 		}
 	}
 	t.Logf("searches %d, bookings %d, done %d, unanswered %d", workload.answered.Load(), len(workload.booked), done, unanswered)
--- a/cmd/carobthreadd/soak_test.go
+++ b/cmd/carobthreadd/soak_test.go
@@ -27,9 +27,17 @@
 	soakSpan  = flag.Duration("soak-span", 5*time.Second, "how long faults are injected for each seed") //nolint:gochecknoglobals // a test flag
 )
 
-// regressionSeeds returns seeds that failed once; each one is listed with its cause.
-func regressionSeeds() []uint64 {
-	return []uint64{501, 503} // a late copy of a rejection counted as the answer to the next try: bookings ran twice
+// soakSeed is a seed with the number of faults that it chooses from, the first ones of the list.
+type soakSeed struct {
+	seed       uint64
+	faultCount int
+}
+
+// regressionSeeds returns seeds that failed once; each one is listed with its cause. They choose from the faults that there were
+// then, since another number of them would make each seed choose others.
+func regressionSeeds() []soakSeed {
+	const faultCount = 17
+	return []soakSeed{{501, faultCount}, {503, faultCount}} // a late copy of a rejection counted as the answer to the next try: bookings ran twice
 }
 
 const (
@@ -82,6 +90,7 @@
 		{"searcher-leaves", (*soak).drainSearcher},
 		{"data-centre-evacuated", (*soak).evacuate},
 		{"store-rolled-back", (*soak).rollBackStore},
+		{"runs-failed", (*soak).failRuns}, // after the faults of the regression seeds
 	}
 }
 
@@ -89,14 +98,14 @@
 func TestSoak(t *testing.T) {
 	seeds := regressionSeeds()
 	for index := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(index))
+		seeds = append(seeds, soakSeed{*soakFirst + uint64(index), len(faults())})
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed.seed), func(t *testing.T) { runSeed(t, seed.seed, faults()[:seed.faultCount]) })
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) {
+func runSeed(t *testing.T, seed uint64, faults []fault) {
 	// The faults of hosts are those of the coordinators of the first host.
 	fleet := startForwardingWith(t, [hostCount]string{smallHost, largeHost, largeHost})
 	run := &soak{t: t, fleet: fleet, availableHosts: make(chan int, hostCount), version: make(chan uint64, 1)}
@@ -114,7 +123,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(index)))
 		go func() {
 			for time.Now().Before(end) {
-				chosen := faults()[random.IntN(len(faults()))]
+				chosen := faults[random.IntN(len(faults))]
 				duration := time.Duration(random.Int64N(int64(maxFaultDuration)))
 				t.Logf("%s for %s", chosen.name, duration.Round(time.Millisecond))
 				chosen.run(run, random, duration)
@@ -281,6 +290,21 @@
 	}
 }
 
+// failRuns makes the searchers of bookings run them and fail with a status, which may be one that promises "not run".
+func (run *soak) failRuns(random *rand.Rand, duration time.Duration) {
+	statuses := []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusInternalServerError,
+	}
+	status := statuses[random.IntN(len(statuses))]
+	for _, searcher := range run.fleet.ledger {
+		searcher.FailRuns(status)
+	}
+	time.Sleep(duration)
+	for _, searcher := range run.fleet.ledger {
+		searcher.FailRuns(0)
+	}
+}
+
 func (run *soak) loseHeartbeats(random *rand.Rand, duration time.Duration) {
 	run.faultLock.RLock()
 	defer run.faultLock.RUnlock()
