Limit the retry budget of hosts that have restarted together

Cause: a process that starts earns the ratio's part of the budget anew, although its earlier run may have spent as much in the same window.

Change: in its first window a host divides the part that the ratio's margin leaves by the share of the hosts that have started within the window, which it knows from the view. docs/incidents/budget-spent-twice.md has what was weighed.

Evidence: TestSlidingBudgetLimitsExtrasOverRestarts exceeded the limit for one to four of four hosts before, and TestRetryBudgetAfterRestartFollowsOthersStarts gave 15 extra attempts where 10 are allowed; both pass now.

--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -189,6 +189,7 @@
 	gatherer.liveHosts = max(1, live)
 	gatherer.budgetHosts = max(gatherer.budgetHosts, gatherer.liveHosts)
 	gatherer.coordinators.update(gatherer.now, view)
+	gatherer.starts.record(gatherer.now, view)
 	gatherer.configureGroups()
 	gatherer.localHosts = 0
 	for _, host := range view.Hosts {
@@ -258,7 +259,7 @@
 		return
 	}
 	gatherer.connect()
-	if gatherer.coordinators.most > 0 {
+	if gatherer.coordinators.most > 0 || len(gatherer.starts.all) > 0 {
 		gatherer.configureGroups()
 	}
 	gatherer.updateBackpressured()
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -34,6 +34,7 @@
 	localHosts int
 	// budgetHosts is the divisor of the retry budgets: the highest number of live hosts known at once.
 	budgetHosts  int
+	starts       hostStarts
 	retryBudget  carobthread.RetryBudget
 	coordinators coordinatorCounts
 	startedAt    carobthread.Instant
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -45,11 +45,52 @@
 	return row
 }
 
+// hostStarts holds when the processes of the hosts have started, while this host's own start is recent.
+type hostStarts struct {
+	self carobthread.Instant
+	all  []carobthread.Instant
+}
+
+// startMemory is how long starts are kept; retry budget windows are shorter.
+const startMemory = time.Minute
+
+// record takes the starts from a view. A host's start is 0 while it is unknown.
+func (starts *hostStarts) record(now carobthread.Instant, view *carobthread.View) {
+	starts.all = starts.all[:0]
+	for _, host := range view.Hosts {
+		if host.Name == view.Self {
+			starts.self = host.Incarnation.Start
+		}
+		starts.all = append(starts.all, host.Incarnation.Start)
+	}
+	if now.Sub(starts.self) > startMemory {
+		starts.all = nil
+	}
+}
+
+// restarted returns the share of the hosts that have started within the window and the end of this host's first window. The
+// share is 0 once that has ended.
+func (starts *hostStarts) restarted(now carobthread.Instant, window time.Duration) (share float64, end carobthread.Instant) {
+	end = starts.self.Add(window)
+	if starts.self == 0 || now >= end || len(starts.all) == 0 {
+		return 0, end
+	}
+	recent := 0
+	for _, start := range starts.all {
+		if now.Sub(start) < window {
+			recent++
+		}
+	}
+	return float64(recent) / float64(len(starts.all)), end
+}
+
 // configureGroups divides the budget of each group by the number of live hosts and of coordinators.
 func (gatherer *Gatherer) configureGroups() {
 	budget := &gatherer.retryBudget
 	coordinates := gatherer.coordinators.usesReserve(gatherer.now, budget.Window)
+	restarted, restartEnd := gatherer.starts.restarted(gatherer.now, budget.Window)
 	for _, row := range gatherer.groups {
+		row.slidingBudget.LimitAfterRestart(restarted, restartEnd)
 		row.slidingBudget.Configure(budget.Ratio, budget.Slack, gatherer.budgetHosts, budget.Window)
 		row.slidingBudget.Split(gatherer.coordinators.most, coordinates)
 	}
--- a/limiter/sliding_budget.go
+++ b/limiter/sliding_budget.go
@@ -24,6 +24,8 @@
 // of this process may have used it just before it ended, and the slack is divided
 // by at least minStartupHosts, since a host that has just started does not know
 // the other hosts.
+//
+// After a restart of the process, the ratio's part is limited as well (see LimitAfterRestart).
 type SlidingBudget struct {
 	ratio float64
 	slack float64
@@ -35,6 +37,9 @@
 	coordinates  bool
 	window       time.Duration
 	startedAt    carobthread.Instant
+	// restartedShare is the share of the hosts that have restarted in the last window; it counts until restartEnd.
+	restartedShare float64
+	restartEnd     carobthread.Instant
 	// currentSlot is the number of the latest slot, counted from the epoch.
 	currentSlot int64
 	requests    [windowSlots + 1]int
@@ -46,7 +51,7 @@
 
 // Configure sets the limits and the number of hosts that share the slack, and keeps the counts.
 func (budget *SlidingBudget) Configure(ratio, slack float64, hosts int, window time.Duration) {
-	budget.ratio = ratio * ratioMargin
+	budget.ratio = ratio
 	budget.slack = slack
 	budget.hosts = max(1, hosts)
 	budget.window = window
@@ -58,6 +63,21 @@
 	budget.coordinators, budget.coordinates = coordinators, coordinates
 }
 
+// LimitAfterRestart states the share of all hosts whose processes have started within a window, this host among them, and when
+// this host's first window ends. Until then, the earlier runs of these processes may have used all that their requests earned
+// in the same window. The hosts that have restarted therefore share what the margin of the ratio leaves.
+func (budget *SlidingBudget) LimitAfterRestart(share float64, end carobthread.Instant) {
+	budget.restartedShare, budget.restartEnd = share, end
+}
+
+// earned returns the extra attempts that a request earns.
+func (budget *SlidingBudget) earned(now carobthread.Instant) float64 {
+	if now >= budget.restartEnd || budget.restartedShare == 0 {
+		return budget.ratio * ratioMargin
+	}
+	return budget.ratio * min(ratioMargin, (1-ratioMargin)/budget.restartedShare)
+}
+
 // Permits reports whether Take would succeed.
 func (budget *SlidingBudget) Permits(now carobthread.Instant) bool {
 	budget.advance(now)
@@ -98,7 +118,7 @@
 			requests += budget.requests[slot]
 		}
 	}
-	return budget.ratio*float64(requests) + budget.slackShare(now) - float64(extras)
+	return budget.earned(now)*float64(requests) + budget.slackShare(now) - float64(extras)
 }
 
 // slackShare returns the part of the slack that this host may use in a window that ends now.
