Abort the connection of a caller whose request was given up without an answer

Cause: net/http ends the request's context when the caller's sending side ends. The forwarder then gives the request up and returned without an answer, which net/http completes with an empty 200.

Change: such a request aborts its connection.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -133,6 +133,9 @@
 	if forwarder.options.OnRequestEnd != nil {
 		forwarder.options.OnRequestEnd(record)
 	}
+	if record.Status == 0 {
+		panic(http.ErrAbortHandler) // else net/http sends an empty 200 to a caller that has closed its sending side only
+	}
 }
 
 func (forwarder *Forwarder) serve(writer http.ResponseWriter, request *http.Request, record *RequestRecord) {
