Bound the numbers of a searcher's load

Found while looking for the cause of the Keep-Alive overflow elsewhere: running and waiting requests are added, and numbers near 2^63 overflowed to a load below zero, so that the searcher looked idle.

Change: each number counts up to 2^31-1, and a load with a negative number counts as none, as other malformed ones.

--- a/caller/header.go
+++ b/caller/header.go
@@ -22,8 +22,8 @@
 	slownessFields = 4
 )
 
-// parseLoad parses "running,waiting,slots" with or without ",slowness"; it returns nil for any other form. A slowness that is
-// not a positive number is ignored.
+// parseLoad parses "running,waiting,slots" with or without ",slowness"; it returns nil for any other form, and bounds each
+// number. A slowness that is not a positive number is ignored.
 func parseLoad(text string) *carobthread.Load {
 	fields := strings.Split(text, ",")
 	if len(fields) != loadFields && len(fields) != slownessFields {
@@ -32,10 +32,10 @@
 	numbers := [loadFields]int{}
 	for i, field := range fields[:loadFields] {
 		number, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil {
+		if err != nil || number < 0 {
 			return nil
 		}
-		numbers[i] = number
+		numbers[i] = min(number, math.MaxInt32) // sums of them must not overflow
 	}
 	load := &carobthread.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}
 	if len(fields) == slownessFields {
@@ -71,7 +71,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil {
-			return caller.options.Timer.Now().Add(max(time.Millisecond, time.Duration(min(seconds, maxKeepAlive))*time.Second-keepAliveMargin))
+			return caller.options.Timer.Now().Add(max(time.Millisecond, time.Duration(min(max(seconds, 0), maxKeepAlive))*time.Second-keepAliveMargin))
 		}
 	}
 	return 0
