Keep the hosts' starts only until the first retry budget window has ended

The starts were kept, and the budgets configured each second, for as long as no change of the view came after the first minute; a view without hosts would have made the share undefined. Found in reading the diff.

Change: the starts are dropped when the host's first window ends. The tests of packages limiter and gatherer pass.

--- a/gatherer/config.go
+++ b/gatherer/config.go
@@ -189,7 +189,7 @@
 	gatherer.liveHosts = max(1, live)
 	gatherer.budgetHosts = max(gatherer.budgetHosts, gatherer.liveHosts)
 	gatherer.coordinators.update(gatherer.now, view)
-	gatherer.starts.record(gatherer.now, view)
+	gatherer.starts.record(view)
 	gatherer.configureGroups()
 	gatherer.localHosts = 0
 	for _, host := range view.Hosts {
--- a/gatherer/group.go
+++ b/gatherer/group.go
@@ -45,17 +45,18 @@
 	return row
 }
 
-// hostStarts holds when the processes of the hosts have started, while this host's own start is recent.
+// hostStarts holds when the processes of the hosts have started, until this host's first retry budget window has ended.
 type hostStarts struct {
-	self carobthread.Instant
-	all  []carobthread.Instant
+	self  carobthread.Instant
+	all   []carobthread.Instant
+	ended bool
 }
 
-// startMemory is how long starts are kept; retry budget windows are shorter.
-const startMemory = time.Minute
-
 // record takes the starts from a view. A host's start is 0 while it is unknown.
-func (starts *hostStarts) record(now carobthread.Instant, view *carobthread.View) {
+func (starts *hostStarts) record(view *carobthread.View) {
+	if starts.ended {
+		return
+	}
 	starts.all = starts.all[:0]
 	for _, host := range view.Hosts {
 		if host.Name == view.Self {
@@ -63,16 +64,17 @@
 		}
 		starts.all = append(starts.all, host.Incarnation.Start)
 	}
-	if now.Sub(starts.self) > startMemory {
-		starts.all = nil
-	}
 }
 
 // restarted returns the share of the hosts that have started within the window and the end of this host's first window. The
 // share is 0 once that has ended.
 func (starts *hostStarts) restarted(now carobthread.Instant, window time.Duration) (share float64, end carobthread.Instant) {
 	end = starts.self.Add(window)
-	if starts.self == 0 || now >= end || len(starts.all) == 0 {
+	if starts.self == 0 || len(starts.all) == 0 || window == 0 {
+		return 0, end
+	}
+	if now >= end {
+		starts.all, starts.ended = nil, true
 		return 0, end
 	}
 	recent := 0
